--- /dev/null
+++ b/bench/shared/index.ts
@@ -0,0 +1,5 @@
+/** What all benches share. */
+export * from './bench';
+export * from './child';
+export * from './measure';
+export * from './process_site';
--- /dev/null
+++ b/bench/shared/process_site.ts
@@ -0,0 +1,209 @@
+import {request} from 'undici';
+import {
+  Site,
+  createHost,
+  createProfiles,
+  findSite,
+} from '../../src/stand_ins/site';
+import {CallKind, StoreFaults} from '../../src/stand_ins/platform';
+import {RunRecord, WorkerFaults} from '../../src/stand_ins/worker';
+import {delay} from '../../src/state';
+import {Host, Profile} from '../../src/types';
+import {Child, startChild} from './child';
+
+/** One entry host as a process. */
+export interface EntryProcess {
+  readonly id: string;
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+  child: Child;
+  /** Starts the process again after its end. */
+  restart(): Promise<void>;
+}
+
+/** A whole site as processes on loopback. */
+export interface ProcessSite {
+  readonly site: Site;
+  readonly platformUrl: string;
+  readonly entries: readonly EntryProcess[];
+  readonly hosts: readonly Host[];
+  setStoreFaults(faults: Partial<StoreFaults>): Promise<void>;
+  setWorkerFaults(host: Host, faults: Partial<WorkerFaults>): Promise<void>;
+  /** Reads a worker's runs and the most slots that were in use at once. */
+  readRuns(host: Host): Promise<{runs: RunRecord[]; slotsPeak: number}>;
+  readStoreCalls(): Promise<Record<CallKind, number>>;
+  dispose(): Promise<void>;
+}
+
+/** Options of a site as processes. */
+export interface ProcessSiteOptions {
+  readonly siteName?: string;
+  readonly entries: number;
+  /** First of the ports that are used, on 127.0.0.1. */
+  readonly firstPort: number;
+  readonly profiles?: readonly Profile[];
+  /** Further arguments of each "run" process. */
+  readonly runArgs?: readonly string[];
+  readonly rebootMs?: number;
+}
+
+const ADDRESS = '127.0.0.1';
+const PORTS_PER_ENTRY = 3;
+const READY_POLL_MS = 50;
+const READY_LIMIT_MS = 20_000;
+
+/** Starts platform, workers and entry hosts as processes and applies the profiles. */
+export async function createProcessSite(
+  options: ProcessSiteOptions,
+): Promise<ProcessSite> {
+  const site = findSite(options.siteName ?? 'orbitica');
+  const {firstPort} = options;
+  const platformUrl = `http://${ADDRESS}:${firstPort}`;
+  const entryPort = firstPort + 1;
+  const workerPort = entryPort + options.entries * PORTS_PER_ENTRY;
+
+  const platform = startChild([
+    ...['stand-in', 'platform', '--port', String(firstPort)],
+  ]);
+  await waitFor(() => isAnswering(`${platformUrl}/hosts`));
+  const workers = startChild([
+    ...['stand-in', 'workers', '--site', site.name],
+    ...['--first-port', String(workerPort)],
+    ...['--host-list-url', platformUrl],
+    ...['--reboot-ms', String(options.rebootMs ?? 1_000)],
+  ]);
+  const hosts = listHosts(site, workerPort);
+  await waitFor(async () => {
+    const listed = (await callJson('GET', `${platformUrl}/hosts`)) as Host[];
+    return listed.length === hosts.length;
+  });
+  const entries = Array.from({length: options.entries}, (_, i) =>
+    startEntry(i, entryPort + i * PORTS_PER_ENTRY, platformUrl, site, options),
+  );
+  for (const entry of entries) {
+    await waitFor(() => isAnswering(`${entry.operatorUrl}/healthz`));
+  }
+  await callJson('PUT', `${entries[0].operatorUrl}/v1/configuration`, {
+    baseRevision: 0,
+    operationId: 'bench',
+    author: 'bench',
+    profiles: options.profiles ?? createProfiles(site),
+  });
+  for (const entry of entries) {
+    await waitForReady(entry);
+    await waitFor(async () => {
+      const known = await callJson('GET', `${entry.operatorUrl}/v1/hosts`);
+      return (known as unknown[]).length === hosts.length;
+    });
+  }
+
+  return {
+    site,
+    platformUrl,
+    entries,
+    hosts,
+    async setStoreFaults(faults) {
+      await callJson('POST', `${platformUrl}/faults`, faults);
+    },
+    async setWorkerFaults(host, faults) {
+      await callJson('POST', `${workerUrl(host)}/control/faults`, faults);
+    },
+    readRuns: async host =>
+      (await callJson('GET', `${workerUrl(host)}/control/runs`)) as {
+        runs: RunRecord[];
+        slotsPeak: number;
+      },
+    readStoreCalls: async () =>
+      (await callJson('POST', `${platformUrl}/calls`, {})) as Record<
+        CallKind,
+        number
+      >,
+    async dispose() {
+      await Promise.all(entries.map(entry => entry.child.end('SIGKILL')));
+      await workers.end('SIGKILL');
+      await platform.end('SIGKILL');
+    },
+  };
+}
+
+function startEntry(
+  index: number,
+  port: number,
+  platformUrl: string,
+  site: Site,
+  options: ProcessSiteOptions,
+): EntryProcess {
+  const id = `entry-${index + 1}`;
+  const zones = site.availabilityZones;
+  const args = [
+    ...['run', '--member-id', id, '--address', ADDRESS],
+    ...['--availability-zone', zones[index % zones.length]],
+    ...['--caller-port', String(port)],
+    ...['--operator-port', String(port + 1)],
+    ...['--peer-port', String(port + 2)],
+    ...['--store-url', platformUrl, '--host-list-url', platformUrl],
+    ...['--log-level', 'warn'],
+    ...(options.runArgs ?? []),
+  ];
+  const entry: EntryProcess = {
+    id,
+    callerUrl: `http://${ADDRESS}:${port}`,
+    operatorUrl: `http://${ADDRESS}:${port + 1}`,
+    child: startChild(args),
+    async restart() {
+      entry.child = startChild(args);
+      await waitForReady(entry);
+    },
+  };
+  return entry;
+}
+
+function listHosts(site: Site, firstPort: number): readonly Host[] {
+  const hosts: Host[] = [];
+  for (const pool of site.pools) {
+    for (let i = 0; i < pool.workers; i += 1) {
+      const port = firstPort + hosts.length;
+      hosts.push(createHost(site, pool, i, ADDRESS, port));
+    }
+  }
+  return hosts;
+}
+
+async function waitForReady(entry: EntryProcess): Promise<void> {
+  await waitFor(() => isAnswering(`${entry.callerUrl}/readyz`));
+}
+
+async function isAnswering(url: string): Promise<boolean> {
+  try {
+    const response = await request(url);
+    await response.body.dump();
+    return response.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function waitFor(isDone: () => Promise<boolean>): Promise<void> {
+  const endsAt = performance.now() + READY_LIMIT_MS;
+  while (!(await isDone())) {
+    if (performance.now() > endsAt) throw new Error('the site did not start');
+    await delay(READY_POLL_MS);
+  }
+}
+
+function workerUrl(host: Host): string {
+  return `http://${host.address}:${host.port}`;
+}
+
+/** Makes one JSON call and returns the body. */
+export async function callJson(
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  url: string,
+  body?: unknown,
+): Promise<unknown> {
+  const response = await request(url, {
+    method,
+    body: body === undefined ? undefined : JSON.stringify(body),
+  });
+  return response.body.json();
+}
--- /dev/null
+++ b/features/support/memory_site.ts
@@ -0,0 +1,185 @@
+import {Result} from 'true-myth';
+import {HostList} from '../../src/ports';
+import {createMemoryNetwork, MemoryNetwork} from '../../src/stand_ins/peers';
+import {
+  CallKind,
+  KeyValue,
+  StoreFaults,
+  createKeyValue,
+  createMemoryStore,
+  createStoreFaults,
+} from '../../src/stand_ins/platform';
+import {
+  Site,
+  createHost,
+  createProfiles,
+  findSite,
+} from '../../src/stand_ins/site';
+import {
+  WorkerModel,
+  createMemoryWorkers,
+  createWorkerModel,
+} from '../../src/stand_ins/worker';
+import {LogLevel, Telemetry, createTelemetry} from '../../src/telemetry';
+import {Host, Member, Profile} from '../../src/types';
+import {Core, createCore} from '../../src/wiring';
+import {advanceUntil, settle} from './paused_clock';
+
+/** One entry host of a site in memory, with its own faults. */
+export interface MemoryEntry {
+  readonly member: Member;
+  readonly core: Core;
+  readonly telemetry: Telemetry;
+  /** Faults on this entry host's way to the store. */
+  readonly storeFaults: StoreFaults;
+  /** Calls to the store so far. */
+  readonly storeCalls: Record<CallKind, number>;
+  /** Drops the entry host without a planned stop. */
+  crash(): void;
+}
+
+/** A whole site in memory, on the paused clock. */
+export interface MemorySite {
+  readonly site: Site;
+  readonly keyValue: KeyValue;
+  readonly network: MemoryNetwork;
+  readonly workers: ReadonlyMap<string, WorkerModel>;
+  readonly entries: readonly MemoryEntry[];
+  /** The host list; change it to make hosts leave or vanish. */
+  readonly hosts: Map<string, Host>;
+  /** Starts one more entry host. */
+  addEntry(memberId: string): MemoryEntry;
+  dispose(): void;
+}
+
+/** Options of a site in memory. */
+export interface MemorySiteOptions {
+  readonly entries: number;
+  readonly siteName?: string;
+  readonly rebootMs?: number;
+}
+
+const REBOOT_MS = 2_000;
+const READY_MS = 10_000;
+
+/** Creates a site in memory; the clock must be paused. */
+export function createMemorySite(options: MemorySiteOptions): MemorySite {
+  const site = findSite(options.siteName ?? 'orbitica');
+  const keyValue = createKeyValue();
+  const network = createMemoryNetwork();
+  const hosts = new Map<string, Host>();
+  const workers = new Map<string, WorkerModel>();
+  const entries: MemoryEntry[] = [];
+
+  for (const pool of site.pools) {
+    for (let i = 0; i < pool.workers; i += 1) {
+      const host = createHost(site, pool, i, '127.0.0.1', 0);
+      const rebootMs = options.rebootMs ?? REBOOT_MS;
+      hosts.set(host.id, host);
+      workers.set(host.id, createWorkerModel({host, rebootMs}));
+    }
+  }
+  const hostList: HostList = {
+    read: async () => Result.ok([...hosts.values()]),
+    dispose: () => {},
+  };
+
+  function addEntry(memberId: string): MemoryEntry {
+    const zones = site.availabilityZones;
+    const member: Member = {
+      id: memberId,
+      availabilityZone: zones[entries.length % zones.length],
+      address: '127.0.0.1',
+      callerPort: 0,
+      operatorPort: 0,
+      peerPort: 0,
+      startedAt: Date.now(),
+      leaving: false,
+    };
+    const storeFaults = createStoreFaults();
+    const storeCalls = {
+      [CallKind.Read]: 0,
+      [CallKind.Write]: 0,
+      [CallKind.Lease]: 0,
+      [CallKind.Watch]: 0,
+    };
+    const store = createMemoryStore(
+      keyValue,
+      storeFaults,
+      Math.random,
+      kind => {
+        storeCalls[kind] += 1;
+      },
+    );
+    const telemetry = createTelemetry(memberId, LogLevel.Error);
+    const core = createCore({
+      self: member,
+      telemetry,
+      outside: {
+        store,
+        hostList,
+        workers: createMemoryWorkers(workers),
+        peers: network.createPeers(memberId),
+      },
+    });
+    const detach = network.attach(memberId, core.handlers);
+    const entry: MemoryEntry = {
+      member,
+      core,
+      telemetry,
+      storeFaults,
+      storeCalls,
+      crash() {
+        storeFaults.down = true;
+        detach();
+        core.dispose();
+      },
+    };
+    entries.push(entry);
+    return entry;
+  }
+
+  for (let i = 0; i < options.entries; i += 1) addEntry(`entry-${i + 1}`);
+
+  return {
+    site,
+    keyValue,
+    network,
+    workers,
+    entries,
+    hosts,
+    addEntry,
+    dispose() {
+      for (const entry of entries) entry.core.dispose();
+      for (const worker of workers.values()) worker.dispose();
+      keyValue.dispose();
+    },
+  };
+}
+
+/** Applies profiles and advances the clock until every entry host is ready and every pool is led. */
+export async function configureSite(
+  memorySite: MemorySite,
+  profiles: readonly Profile[] = createProfiles(memorySite.site),
+): Promise<void> {
+  const {entries} = memorySite;
+  const applied = await settle(
+    entries[0].core.configuration.apply({
+      baseRevision: 0,
+      operationId: 'first',
+      author: 'test',
+      profiles,
+    }),
+  );
+  if (applied.isErr) throw new Error(JSON.stringify(applied.error));
+  await advanceUntil(
+    () =>
+      entries.every(({core}) => core.isReady()) &&
+      profiles.every(({pool, hosts}) =>
+        entries.every(
+          ({core}) => core.view.getPoolHosts(pool).length === hosts,
+        ),
+      ),
+    READY_MS,
+  );
+}
--- /dev/null
+++ b/src/actors/configuration/change_refusal.ts
@@ -0,0 +1,9 @@
+import {Configuration, Finding, RefusalReason} from '../../types';
+
+/** Why a change was not accepted. */
+export interface ChangeRefusal {
+  readonly reason: RefusalReason;
+  readonly findings: readonly Finding[];
+  /** The configuration in force, for a conflict. */
+  readonly current?: Configuration;
+}
--- /dev/null
+++ b/src/actors/membership/index.ts
@@ -0,0 +1,4 @@
+/** Membership of this process and leadership of pools. */
+export * from './heartbeats';
+export * from './leadership_actor';
+export * from './membership_actor';
--- /dev/null
+++ b/src/actors/requests/answer.ts
@@ -0,0 +1,10 @@
+import type {Readable} from 'node:stream';
+import type {IncomingHttpHeaders} from 'node:http';
+
+/** A worker's answer on its way to the caller; the body errors if it is cut short. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Readable;
+  readonly hostId: string;
+}
--- /dev/null
+++ b/src/actors/requests/index.ts
@@ -0,0 +1,6 @@
+/** Interactive requests at one entry host. */
+export * from './answer';
+export * from './interactive_request';
+export * from './pool_requests_actor';
+export * from './refusal';
+export * from './requests';
--- /dev/null
+++ b/src/actors/shared/index.ts
@@ -0,0 +1,3 @@
+/** What all actors share. */
+export * from './create_actor';
+export * from './ticker';
--- /dev/null
+++ b/src/adapters/host_list/index.ts
@@ -0,0 +1,2 @@
+/** Adapter to the platform's host list. */
+export * from './http_host_list';
--- /dev/null
+++ b/src/adapters/peer/index.ts
@@ -0,0 +1,3 @@
+/** Adapter to the other members over gRPC. */
+export * from './grpc_peer_server';
+export * from './grpc_peers';
--- /dev/null
+++ b/src/adapters/store/index.ts
@@ -0,0 +1,2 @@
+/** Adapter to the platform's key-value service. */
+export * from './http_store';
--- /dev/null
+++ b/src/adapters/worker/index.ts
@@ -0,0 +1,2 @@
+/** Adapter to the workers. */
+export * from './http_workers';
--- /dev/null
+++ b/src/cli/commands/shared_options.ts
@@ -0,0 +1,35 @@
+import {OperatorClient, createOperatorClient} from '../operator_client';
+import {Output} from '../output';
+
+/** Options of every command that calls an entry host. */
+export const operatorOptions = {
+  url: {
+    type: 'string',
+    default: 'http://127.0.0.1:8081',
+    describe: "base URL of an entry host's operators' port",
+  },
+  token: {type: 'string', describe: "operators' token"},
+  output: {
+    choices: Object.values(Output),
+    default: Output.Table,
+    describe: 'form of the result',
+  },
+} as const;
+
+/** Options of every command that calls as a caller. */
+export const callerOptions = {
+  'caller-url': {
+    type: 'string',
+    default: 'http://127.0.0.1:8080',
+    describe: "base URL of an entry host's callers' port",
+  },
+  output: operatorOptions.output,
+} as const;
+
+/** Creates the client that the options name. */
+export function clientOf(options: {
+  readonly url: string;
+  readonly token?: string;
+}): OperatorClient {
+  return createOperatorClient(options.url, options.token);
+}
--- /dev/null
+++ b/src/cli/demo/run_demo.ts
@@ -0,0 +1,165 @@
+import {Site, createProfiles} from '../../stand_ins/site';
+import {WorkerServer} from '../../stand_ins/worker';
+import {delay} from '../../state';
+import {Job, JobState, PoolRecord, SelectorKind} from '../../types';
+import {Entry} from '../../wiring';
+import {createDemoSite} from './demo_site';
+import {DemoSummary, createDemoSummary} from './demo_summary';
+import {callJson} from './http_call';
+
+/** What the demo runs. */
+export interface DemoOptions {
+  readonly site: Site;
+  readonly seconds: number;
+  readonly entries: number;
+  /** Told of each step. */
+  readonly progress: (line: string) => void;
+}
+
+const CALLERS = 20;
+const JOBS = 5;
+const SETTLE_MS = 5_000;
+const BUDGET_CHECK_MS = 200;
+const POLL_MS = 100;
+
+/** Runs the whole system in this process for some seconds. */
+export async function runDemo(options: DemoOptions): Promise<DemoSummary> {
+  const {site, progress} = options;
+  const demo = await createDemoSite(site, options.entries);
+  const {entries, workers, platformUrl} = demo;
+  const summary = createDemoSummary();
+  progress(`${workers.length} workers of ${site.name}`);
+
+  await callJson('PUT', operatorUrl(entries[0], '/v1/configuration'), {
+    baseRevision: 0,
+    operationId: 'demo',
+    author: 'demo',
+    profiles: createProfiles(site),
+  });
+  await waitUntil(() => entries.every(entry => entry.isReady()));
+  progress(`${entries.length} entry hosts are ready`);
+
+  const jobs = await submitJobs(site, entries);
+  progress(`${jobs.length} jobs are accepted`);
+  await callJson('POST', operatorUrl(entries[0], '/v1/waves'), {
+    selector: {kind: SelectorKind.Pool, name: site.pools[0].name},
+    reason: 'demo',
+    dueAt: Date.now() + options.seconds * 1_000,
+  });
+  progress(`a wave over ${site.pools[0].name} is declared`);
+
+  const budget = watchBudget(site, platformUrl, summary);
+  await sendTraffic(options, entries, summary);
+  clearInterval(budget);
+  await settleJobs(entries, jobs, summary);
+  countRuns(workers, summary);
+  await demo.dispose();
+  return summary;
+}
+
+async function submitJobs(
+  site: Site,
+  entries: readonly Entry[],
+): Promise<readonly Job[]> {
+  const jobs: Job[] = [];
+  for (let i = 0; i < JOBS; i += 1) {
+    const service = site.pools[i % site.pools.length].name;
+    const entry = entries[i % entries.length];
+    const body = {input: 'work-ms=1500', idempotencyKey: `demo-${i}`};
+    const url = callerUrl(entry, `/jobs/${service}`);
+    const answer = await callJson('POST', url, body);
+    jobs.push(answer.body as Job);
+  }
+  return jobs;
+}
+
+async function sendTraffic(
+  {site, seconds}: DemoOptions,
+  entries: readonly Entry[],
+  summary: DemoSummary,
+): Promise<void> {
+  const endsAt = performance.now() + seconds * 1_000;
+  const callers = Array.from({length: CALLERS}, async (_, i) => {
+    for (let n = i; performance.now() < endsAt; n += 1) {
+      const service = site.pools[n % site.pools.length].name;
+      const entry = entries[n % entries.length];
+      const url = callerUrl(entry, `/services/${service}/demo`);
+      const answer = await callJson('POST', url, {n});
+      if (answer.status === 200) summary.answered += 1;
+      else countRefusal(summary, answer.body);
+    }
+  });
+  await Promise.all(callers);
+}
+
+function countRefusal(summary: DemoSummary, body: unknown): void {
+  const {reason = 'unknown'} = body as {reason?: string};
+  const known = summary.refusedByReason[reason] ?? 0;
+  summary.refusedByReason[reason] = known + 1;
+}
+
+function watchBudget(
+  site: Site,
+  url: string,
+  summary: DemoSummary,
+): NodeJS.Timeout {
+  const budgets = new Map(
+    createProfiles(site).map(p => [p.pool, p.maxUnavailable]),
+  );
+  return setInterval(async () => {
+    const answer = await callJson('POST', `${url}/kv/list`, {prefix: 'pools/'});
+    const {value} = answer.body as {value: {entries: {value: string}[]}};
+    for (const entry of value.entries) {
+      const record = JSON.parse(entry.value) as PoolRecord;
+      const budget = budgets.get(record.pool) ?? 0;
+      if (record.unavailable.length > budget) summary.budgetBreaches += 1;
+    }
+  }, BUDGET_CHECK_MS);
+}
+
+async function settleJobs(
+  entries: readonly Entry[],
+  jobs: readonly Job[],
+  summary: DemoSummary,
+): Promise<void> {
+  const endsAt = performance.now() + SETTLE_MS;
+  let states: readonly Job[] = [];
+  while (performance.now() < endsAt) {
+    states = await Promise.all(jobs.map(job => readJob(entries[0], job)));
+    if (states.every(job => job.state === JobState.Done)) break;
+    await delay(POLL_MS);
+  }
+  summary.jobsDone = states.filter(j => j.state === JobState.Done).length;
+  summary.jobsLost = states.filter(job => job.id === undefined).length;
+}
+
+async function readJob(entry: Entry, {service, id}: Job): Promise<Job> {
+  const url = callerUrl(entry, `/jobs/${service}/${id}`);
+  return (await callJson('GET', url)).body as Job;
+}
+
+function countRuns(
+  workers: readonly WorkerServer[],
+  summary: DemoSummary,
+): void {
+  const runs = new Map<string, number>();
+  for (const {model} of workers) {
+    if (model.report().bootNumber > 1) summary.hostsMaintained += 1;
+    for (const run of model.runs) {
+      runs.set(run.id, (runs.get(run.id) ?? 0) + 1);
+    }
+  }
+  summary.doubled = [...runs.values()].filter(count => count > 1).length;
+}
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  while (!isDone()) await delay(POLL_MS);
+}
+
+function callerUrl({member}: Entry, path: string): string {
+  return `http://${member.address}:${member.callerPort}${path}`;
+}
+
+function operatorUrl({member}: Entry, path: string): string {
+  return `http://${member.address}:${member.operatorPort}${path}`;
+}
--- /dev/null
+++ b/src/cli/exit_code.ts
@@ -0,0 +1,7 @@
+/** Exit codes of every command. */
+export enum ExitCode {
+  Done = 0,
+  Failed = 1,
+  BadInput = 2,
+  OutcomeUnknown = 3,
+}
--- /dev/null
+++ b/src/cli/findings.ts
@@ -0,0 +1,8 @@
+import {Finding} from '../types';
+
+/** Writes every finding with its place to the standard error. */
+export function writeFindings(findings: readonly Finding[]): void {
+  for (const {place, message} of findings) {
+    process.stderr.write(`${place}: ${message}\n`);
+  }
+}
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,46 @@
+/** How results are written. */
+export enum Output {
+  Table = 'table',
+  Json = 'json',
+}
+
+/** One row of a table. */
+export type Row = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/**
+ * Writes rows to the standard output.
+ *
+ * @param output table or JSON
+ * @param rows the rows, all with the same columns
+ * @param value what JSON output holds; the rows by default
+ */
+export function writeRows(
+  output: Output,
+  rows: readonly Row[],
+  value: unknown = rows,
+): void {
+  if (output === Output.Json) {
+    process.stdout.write(`${JSON.stringify(value)}\n`);
+    return;
+  }
+  if (rows.length === 0) {
+    process.stdout.write('none\n');
+    return;
+  }
+  const columns = Object.keys(rows[0]);
+  const widths = columns.map(column =>
+    Math.max(column.length, ...rows.map(row => String(row[column]).length)),
+  );
+  const line = (cells: readonly string[]) =>
+    cells
+      .map((cell, i) => cell.padEnd(widths[i]))
+      .join('  ')
+      .trimEnd();
+  process.stdout.write(`${line(columns)}\n`);
+  for (const row of rows) {
+    const cells = columns.map(column => String(row[column] ?? ''));
+    process.stdout.write(`${line(cells)}\n`);
+  }
+}
--- /dev/null
+++ b/src/cli/version.ts
@@ -0,0 +1,7 @@
+declare const SESAMEFRONT_BUILD_VERSION: string | undefined;
+
+/** Version of the build; "development" outside the binary. */
+export const VERSION =
+  typeof SESAMEFRONT_BUILD_VERSION === 'string'
+    ? SESAMEFRONT_BUILD_VERSION
+    : 'development';
--- /dev/null
+++ b/src/decisions/configuration/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about the operators' configuration. */
+export * from './check_profile_set';
+export * from './newer_configuration';
--- /dev/null
+++ b/src/decisions/jobs/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about long jobs. */
+export * from './choose_worker';
+export * from './transitions';
--- /dev/null
+++ b/src/decisions/membership/index.ts
@@ -0,0 +1,2 @@
+/** Decisions about members and leaders. */
+export * from './preferred_member';
--- /dev/null
+++ b/src/http/callers/index.ts
@@ -0,0 +1,2 @@
+/** The callers' port. */
+export * from './callers_handle';
--- /dev/null
+++ b/src/http/callers/job_schema.ts
@@ -0,0 +1,32 @@
+import {z} from 'zod';
+import {parseDuration} from '../../profiles';
+
+const DAY_MS = 86_400_000;
+
+const duration = z.string().refine(text => parseDuration(text) !== undefined, {
+  message: 'must be a duration such as 30s or 2h',
+});
+
+/** Body of POST /jobs/SERVICE. */
+export const jobSchema = z.strictObject({
+  team: z.string().max(64).default(''),
+  input: z.string().max(65_536).default(''),
+  idempotent: z.boolean().optional(),
+  idempotencyKey: z.string().min(1).max(256).optional(),
+  runTime: duration.default('1m'),
+  /** Time from now by which the job must be done. */
+  dueIn: duration.default('12h'),
+  size: z
+    .strictObject({
+      slots: z.int().min(1).max(1024).default(1),
+      processors: z.number().min(0).default(1),
+      memoryMb: z.number().min(0).default(512),
+      accelerators: z.int().min(0).default(0),
+    })
+    .prefault({}),
+});
+
+/** Reads the time that a job is due. */
+export function dueAtOf(dueIn: string): number {
+  return Date.now() + (parseDuration(dueIn) ?? DAY_MS);
+}
--- /dev/null
+++ b/src/http/operators/index.ts
@@ -0,0 +1,6 @@
+/** The operators' port. */
+export * from './operators_handle';
+export * from './profile_routes';
+export * from './route';
+export * from './status_routes';
+export * from './wave_routes';
--- /dev/null
+++ b/src/http/operators/operators_handle.ts
@@ -0,0 +1,67 @@
+import {timingSafeEqual} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Outcome, RefusalReason} from '../../types';
+import {Handle, sendProblem} from '../shared';
+import {Route} from './route';
+
+/**
+ * Creates what answers the operators' port.
+ *
+ * @param routes routes that are served
+ * @param token token that calls must carry; undefined leaves them open
+ */
+export function createOperatorsHandle(
+  routes: readonly Route[],
+  token: string | undefined,
+): Handle {
+  return (request, response) => dispatchRoute(routes, token, request, response);
+}
+
+async function dispatchRoute(
+  routes: readonly Route[],
+  token: string | undefined,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const path = (request.url ?? '/').split('?')[0];
+  for (const route of routes) {
+    if (route.method !== request.method) continue;
+    const id = match(route.path, path);
+    if (id === undefined) continue;
+    if (!route.open && !isAuthorized(request, token)) {
+      return refuse(response, RefusalReason.Unauthorized, 'token needed');
+    }
+    return route.answer(request, response, id);
+  }
+  refuse(response, RefusalReason.NotFound, `no route ${path}`);
+}
+
+function match(pattern: string, path: string): string | undefined {
+  const wanted = pattern.split('/');
+  const given = path.split('/');
+  if (wanted.length !== given.length) return undefined;
+  let id = '';
+  for (let i = 0; i < wanted.length; i += 1) {
+    if (wanted[i] === ':id') id = decodeURIComponent(given[i]);
+    else if (wanted[i] !== given[i]) return undefined;
+  }
+  return id;
+}
+
+function isAuthorized(
+  request: IncomingMessage,
+  token: string | undefined,
+): boolean {
+  if (token === undefined) return true;
+  const wanted = Buffer.from(`Bearer ${token}`);
+  const given = Buffer.from(request.headers.authorization ?? '');
+  return wanted.length === given.length && timingSafeEqual(wanted, given);
+}
+
+function refuse(
+  response: ServerResponse,
+  reason: RefusalReason,
+  detail: string,
+): void {
+  sendProblem(response, {reason, outcome: Outcome.NotRun, detail});
+}
--- /dev/null
+++ b/src/http/operators/profile_routes.ts
@@ -0,0 +1,76 @@
+import {z} from 'zod';
+import {ConfigurationActor} from '../../actors/configuration';
+import {Outcome, Rank, RefusalReason} from '../../types';
+import {readJson, sendJson, sendProblem} from '../shared';
+import {Route} from './route';
+
+const MAX_BODY_BYTES = 1_048_576;
+
+const profileBody = z.strictObject({
+  name: z.string(),
+  pool: z.string(),
+  services: z.array(z.string()),
+  hosts: z.int(),
+  maxUnavailable: z.int().min(0),
+  rank: z.enum(Rank),
+  deadlineMs: z.number().positive(),
+  queueLimit: z.int().positive(),
+  preemptionMs: z.number().min(0),
+  idempotent: z.boolean(),
+  teamQuotas: z.record(z.string(), z.number()),
+  longWorkMinimum: z.number(),
+  maintenanceIntervalMs: z.number(),
+  spare: z.boolean(),
+});
+
+const changeBody = z.strictObject({
+  baseRevision: z.int().min(0),
+  operationId: z.string().min(1).max(128),
+  author: z.string().max(128),
+  profiles: z.array(profileBody),
+});
+
+/** Routes that read and change the configuration. */
+export function createProfileRoutes(
+  configuration: ConfigurationActor,
+): readonly Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/v1/configuration',
+      async answer(_, response) {
+        sendJson(response, 200, configuration.current.get() ?? null);
+      },
+    },
+    {
+      method: 'PUT',
+      path: '/v1/configuration',
+      async answer(request, response) {
+        const body = await readJson<unknown>(request, MAX_BODY_BYTES);
+        const checked = changeBody.safeParse(body);
+        if (!checked.success) {
+          return sendProblem(response, {
+            reason: RefusalReason.BadRequest,
+            outcome: Outcome.NotRun,
+            findings: checked.error.issues.map(issue => ({
+              place: issue.path.map(String).join('.'),
+              message: issue.message,
+            })),
+          });
+        }
+        const result = await configuration.apply(checked.data);
+        if (result.isOk) return sendJson(response, 200, result.value);
+        const {reason, findings, current} = result.error;
+        sendProblem(response, {
+          reason,
+          outcome:
+            reason === RefusalReason.OutcomeUnknown
+              ? Outcome.Unknown
+              : Outcome.NotRun,
+          findings,
+          currentRevision: current?.revision,
+        });
+      },
+    },
+  ];
+}
--- /dev/null
+++ b/src/http/operators/status_routes.ts
@@ -0,0 +1,94 @@
+import {ConfigurationActor} from '../../actors/configuration';
+import {FleetView} from '../../actors/fleet';
+import {LeadershipActor, MembershipActor} from '../../actors/membership';
+import {Telemetry} from '../../telemetry';
+import {sendJson} from '../shared';
+import {Route} from './route';
+
+/** What the status routes read. */
+export interface StatusOptions {
+  readonly configuration: ConfigurationActor;
+  readonly membership: MembershipActor;
+  readonly leadership: LeadershipActor;
+  readonly view: FleetView;
+  readonly telemetry: Telemetry;
+  readonly isReady: () => boolean;
+}
+
+/** Routes that show the state of members, pools and hosts, and explain decisions. */
+export function createStatusRoutes(options: StatusOptions): readonly Route[] {
+  const {configuration, membership, leadership, view, telemetry} = options;
+  return [
+    {
+      method: 'GET',
+      path: '/healthz',
+      open: true,
+      async answer(_, response) {
+        sendJson(response, 200, {alive: true});
+      },
+    },
+    {
+      method: 'GET',
+      path: '/readyz',
+      open: true,
+      async answer(_, response) {
+        const ready = options.isReady();
+        sendJson(response, ready ? 200 : 503, {ready});
+      },
+    },
+    {
+      method: 'GET',
+      path: '/metrics',
+      open: true,
+      async answer(_, response) {
+        const text = await telemetry.registry.metrics();
+        response.writeHead(200, {
+          'content-type': telemetry.registry.contentType,
+        });
+        response.end(text);
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/status',
+      async answer(_, response) {
+        const leaders = leadership.getLeaders();
+        const profiles = configuration.current.get()?.profiles ?? [];
+        sendJson(response, 200, {
+          memberId: membership.self.id,
+          revision: configuration.current.get()?.revision ?? 0,
+          members: membership.members.get(),
+          pools: profiles.map(profile => ({
+            pool: profile.pool,
+            leader: leaders.get(profile.pool)?.memberId,
+            term: view.records.entries.get().get(`pools/${profile.pool}`)?.value
+              .term,
+            hosts: view.getPoolHosts(profile.pool).length,
+            unavailable:
+              view.records.entries.get().get(`pools/${profile.pool}`)?.value
+                .unavailable ?? [],
+            maxUnavailable: profile.maxUnavailable,
+          })),
+        });
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/hosts',
+      async answer(_, response) {
+        const profiles = configuration.current.get()?.profiles ?? [];
+        const hosts = profiles.flatMap(({pool}) =>
+          view.getPoolHosts(pool).map(entry => ({pool, ...entry})),
+        );
+        sendJson(response, 200, hosts);
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/explain/:id',
+      async answer(_, response, id) {
+        sendJson(response, 200, telemetry.decisions.find(id));
+      },
+    },
+  ];
+}
--- /dev/null
+++ b/src/http/shared/index.ts
@@ -0,0 +1,4 @@
+/** What both HTTP faces and the stand-ins share. */
+export * from './body';
+export * from './listener';
+export * from './problem';
--- /dev/null
+++ b/src/http/shared/problem.ts
@@ -0,0 +1,67 @@
+import {ServerResponse} from 'node:http';
+import {Finding, Outcome, RefusalReason} from '../../types';
+
+/** Body of an answer that refuses, as application/problem+json. */
+export interface Problem {
+  readonly status: number;
+  readonly title: string;
+  readonly reason: RefusalReason;
+  /** What is certain about the request. */
+  readonly outcome: Outcome;
+  readonly detail?: string;
+  readonly requestId?: string;
+  readonly findings?: readonly Finding[];
+  /** Time after which a repeat may succeed, in ms. */
+  readonly retryAfterMs?: number;
+  /** The revision in force, for a conflict. */
+  readonly currentRevision?: number;
+}
+
+const STATUS: Readonly<Record<RefusalReason, number>> = {
+  [RefusalReason.UnknownService]: 404,
+  [RefusalReason.QueueFull]: 503,
+  [RefusalReason.DeadlineUnreachable]: 503,
+  [RefusalReason.DeadlinePassed]: 504,
+  [RefusalReason.TeamQuota]: 429,
+  [RefusalReason.NoWorker]: 503,
+  [RefusalReason.NoConfiguration]: 503,
+  [RefusalReason.ClaimUnavailable]: 503,
+  [RefusalReason.AlreadyClaimed]: 409,
+  [RefusalReason.RetriesExhausted]: 502,
+  [RefusalReason.BadRequest]: 400,
+  [RefusalReason.BodyTooLarge]: 413,
+  [RefusalReason.Stopping]: 503,
+  [RefusalReason.StoreUnavailable]: 503,
+  [RefusalReason.Unsatisfiable]: 422,
+  [RefusalReason.BudgetSpent]: 409,
+  [RefusalReason.Conflict]: 409,
+  [RefusalReason.Unauthorized]: 401,
+  [RefusalReason.NotFound]: 404,
+  [RefusalReason.OutcomeUnknown]: 502,
+};
+
+/** Returns the HTTP status that goes with a refusal. */
+export function statusOf(reason: RefusalReason): number {
+  return STATUS[reason];
+}
+
+/** Sends a problem with the headers that tell its outcome and reason. */
+export function sendProblem(
+  response: ServerResponse,
+  problem: Omit<Problem, 'status' | 'title'>,
+): void {
+  const status = statusOf(problem.reason);
+  const body = Buffer.from(
+    JSON.stringify({status, title: problem.reason, ...problem}),
+  );
+  response.setHeader('sesamefront-outcome', problem.outcome);
+  response.setHeader('sesamefront-reason', problem.reason);
+  if (problem.retryAfterMs !== undefined) {
+    response.setHeader('retry-after', Math.ceil(problem.retryAfterMs / 1000));
+  }
+  response.writeHead(status, {
+    'content-type': 'application/problem+json',
+    'content-length': body.length,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/ports/workers.ts
@@ -0,0 +1,42 @@
+import type {Result} from 'true-myth/result';
+import {Host} from '../types';
+import {TaskOrder} from './task_order';
+import {TaskReport} from './task_report';
+import {TaskStart} from './task_start';
+import {WorkerFailure} from './worker_failure';
+import {WorkerReport} from './worker_report';
+import {WorkerRequest} from './worker_request';
+import {WorkerResponse} from './worker_response';
+
+/** Calls to workers; no call throws. */
+export interface Workers {
+  /** Sends one interactive request and resolves when the answer's headers are in. */
+  send(
+    host: Host,
+    request: WorkerRequest,
+  ): Promise<Result<WorkerResponse, WorkerFailure>>;
+  /** Asks a worker for its state and tasks. */
+  report(host: Host): Promise<Result<WorkerReport, WorkerFailure>>;
+  /** Starts a task; repeated with the same job, attempt and term it changes nothing. */
+  startTask(
+    host: Host,
+    start: TaskStart,
+  ): Promise<Result<TaskReport, WorkerFailure>>;
+  /** Gives an order for a task under a term. */
+  orderTask(
+    host: Host,
+    jobId: string,
+    attempt: number,
+    term: number,
+    order: TaskOrder,
+  ): Promise<Result<TaskReport, WorkerFailure>>;
+  /** Makes a worker refuse new work, or accept it again. */
+  setDraining(
+    host: Host,
+    draining: boolean,
+  ): Promise<Result<void, WorkerFailure>>;
+  /** Reboots a drained worker for maintenance. */
+  reboot(host: Host): Promise<Result<void, WorkerFailure>>;
+  /** Closes connections. */
+  dispose(): void;
+}
--- /dev/null
+++ b/src/profiles/index.ts
@@ -0,0 +1,3 @@
+/** Operators' profiles as YAML documents. */
+export * from './profile_schema';
+export * from './read_profiles';
--- /dev/null
+++ b/src/protocol/index.ts
@@ -0,0 +1,3 @@
+/** Messages between members: protobuf definitions and their gRPC methods. */
+export * from './heartbeat';
+export * from './method';
--- /dev/null
+++ b/src/protocol/method.ts
@@ -0,0 +1,30 @@
+import {PeerMethod} from '../ports';
+
+/** Static protobuf code of one message type. */
+export interface MessageCodec<T> {
+  encode(message: T): {finish(): Uint8Array};
+  decode(bytes: Uint8Array): T;
+}
+
+/**
+ * Defines a unary gRPC method from the static code of its messages.
+ *
+ * @param path full method path, "/package.Service/Method"
+ * @param request codec of the request
+ * @param reply codec of the reply
+ */
+export function createMethod<Request, Reply>(
+  path: string,
+  request: MessageCodec<Request>,
+  reply: MessageCodec<Reply>,
+): PeerMethod<Request, Reply> {
+  return {
+    path,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: value => Buffer.from(request.encode(value).finish()),
+    requestDeserialize: bytes => request.decode(bytes),
+    responseSerialize: value => Buffer.from(reply.encode(value).finish()),
+    responseDeserialize: bytes => reply.decode(bytes),
+  };
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,2 @@
+/** Settings of one entry host. */
+export * from './settings';
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,24 @@
+import {LogLevel} from '../telemetry';
+
+/** Settings of one entry host. */
+export interface Settings {
+  readonly memberId: string;
+  readonly availabilityZone: string;
+  /** IP address to listen on. */
+  readonly address: string;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly peerPort: number;
+  /** Base URLs of the platform's key-value service. */
+  readonly storeUrls: readonly string[];
+  readonly hostListUrl: string;
+  /** Token that operators' calls carry; undefined leaves them open. */
+  readonly operatorToken?: string;
+  readonly logLevel: LogLevel;
+  /** Time limit of a call to the key-value service, in ms. */
+  readonly storeTimeoutMs: number;
+  /** Connections to one worker for requests. */
+  readonly connectionsPerWorker: number;
+  /** Time limit of a control call to a worker, in ms. */
+  readonly workerTimeoutMs: number;
+}
--- /dev/null
+++ b/src/stand_ins/peers/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in for the network between members. */
+export * from './memory_network';
--- /dev/null
+++ b/src/stand_ins/platform/key_value.ts
@@ -0,0 +1,177 @@
+import {
+  StoreChange,
+  StoreChanges,
+  StoreEntry,
+  StoreListing,
+  Swap,
+  SwapResult,
+} from '../../ports';
+
+/** The key-value service's state, without any transport. */
+export interface KeyValue {
+  get(key: string): StoreEntry | undefined;
+  list(prefix: string): StoreListing;
+  swap(swap: Swap): SwapResult;
+  grantLease(lengthMs: number): string;
+  renewLease(leaseId: string): boolean;
+  revokeLease(leaseId: string): void;
+  watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<StoreChanges>;
+  /** Copies the whole state, to be restored later as an old backup. */
+  backup(): readonly StoreEntry[];
+  /** Replaces the whole state, as after a restore of an old backup. */
+  restore(entries: readonly StoreEntry[]): void;
+  dispose(): void;
+}
+
+interface Lease {
+  readonly lengthMs: number;
+  readonly keys: Set<string>;
+  timer: NodeJS.Timeout;
+}
+
+interface Waiter {
+  readonly prefix: string;
+  readonly wake: () => void;
+}
+
+/** Changes kept for watches; older ones are compacted. */
+const KEPT_CHANGES = 10_000;
+
+/** Creates an empty key-value service. */
+export function createKeyValue(): KeyValue {
+  const entries = new Map<string, StoreEntry>();
+  const leases = new Map<string, Lease>();
+  const waiters = new Set<Waiter>();
+  let changes: StoreChange[] = [];
+  let compactedTo = 0;
+  let revision = 0;
+  let leaseCount = 0;
+
+  function record(key: string, entry: StoreEntry | undefined): void {
+    changes.push({key, revision, entry});
+    if (changes.length > KEPT_CHANGES) {
+      const dropped = changes.splice(0, KEPT_CHANGES / 2);
+      compactedTo = dropped[dropped.length - 1].revision;
+    }
+    for (const waiter of [...waiters]) {
+      if (key.startsWith(waiter.prefix)) waiter.wake();
+    }
+  }
+
+  function remove(key: string): void {
+    const entry = entries.get(key);
+    if (!entry) return;
+    detach(entry);
+    entries.delete(key);
+    revision += 1;
+    record(key, undefined);
+  }
+
+  function detach(entry: StoreEntry): void {
+    if (entry.leaseId) leases.get(entry.leaseId)?.keys.delete(entry.key);
+  }
+
+  function endLease(leaseId: string): void {
+    const lease = leases.get(leaseId);
+    if (!lease) return;
+    clearTimeout(lease.timer);
+    leases.delete(leaseId);
+    for (const key of [...lease.keys]) remove(key);
+  }
+
+  function startTimer(leaseId: string, lengthMs: number): NodeJS.Timeout {
+    const timer = setTimeout(() => endLease(leaseId), lengthMs);
+    timer.unref?.();
+    return timer;
+  }
+
+  function changesAfter(prefix: string, afterRevision: number): StoreChanges {
+    return {
+      revision,
+      compacted: afterRevision < compactedTo,
+      changes: changes.filter(
+        change =>
+          change.revision > afterRevision && change.key.startsWith(prefix),
+      ),
+    };
+  }
+
+  return {
+    get: key => entries.get(key),
+    list: prefix => ({
+      revision,
+      entries: [...entries.values()].filter(e => e.key.startsWith(prefix)),
+    }),
+    swap({key, expectedVersion, value, leaseId}) {
+      const found = entries.get(key);
+      const version = found?.version ?? 0;
+      if (version !== expectedVersion) return {swapped: false, version, found};
+      const lease = leaseId === undefined ? undefined : leases.get(leaseId);
+      if (leaseId !== undefined && !lease) {
+        return {swapped: false, version, found};
+      }
+      if (value === undefined) {
+        remove(key);
+        return {swapped: true, version: 0};
+      }
+      if (found) detach(found);
+      revision += 1;
+      const entry = {key, value, version: revision, leaseId};
+      entries.set(key, entry);
+      lease?.keys.add(key);
+      record(key, entry);
+      return {swapped: true, version: revision};
+    },
+    grantLease(lengthMs) {
+      leaseCount += 1;
+      const leaseId = `lease-${leaseCount}`;
+      const timer = startTimer(leaseId, lengthMs);
+      leases.set(leaseId, {lengthMs, keys: new Set(), timer});
+      return leaseId;
+    },
+    renewLease(leaseId) {
+      const lease = leases.get(leaseId);
+      if (!lease) return false;
+      clearTimeout(lease.timer);
+      lease.timer = startTimer(leaseId, lease.lengthMs);
+      return true;
+    },
+    revokeLease: endLease,
+    watch(prefix, afterRevision, waitMs) {
+      const seen = changesAfter(prefix, afterRevision);
+      const restored = afterRevision > revision;
+      if (seen.changes.length > 0 || seen.compacted || restored) {
+        return Promise.resolve(seen);
+      }
+      return new Promise(resolve => {
+        const finish = () => {
+          clearTimeout(timer);
+          waiters.delete(waiter);
+          resolve(changesAfter(prefix, afterRevision));
+        };
+        const waiter = {prefix, wake: finish};
+        const timer = setTimeout(finish, waitMs);
+        timer.unref?.();
+        waiters.add(waiter);
+      });
+    },
+    backup: () => [...entries.values()],
+    restore(backup) {
+      for (const leaseId of [...leases.keys()]) endLease(leaseId);
+      entries.clear();
+      for (const entry of backup) entries.set(entry.key, {...entry});
+      revision = Math.max(0, ...backup.map(entry => entry.version));
+      changes = [];
+      compactedTo = revision;
+      for (const waiter of [...waiters]) waiter.wake();
+    },
+    dispose() {
+      for (const lease of leases.values()) clearTimeout(lease.timer);
+      for (const waiter of [...waiters]) waiter.wake();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand_ins/platform/memory_store.ts
@@ -0,0 +1,54 @@
+import {Result} from 'true-myth';
+import {Store, StoreFailure} from '../../ports';
+import {delay} from '../../state';
+import {CallKind} from './call_kind';
+import {KeyValue} from './key_value';
+import {StoreFaults} from './store_faults';
+
+/**
+ * Creates a store that calls the key-value service's state directly, with faults.
+ *
+ * @param keyValue the service's state, which may be shared by several stores
+ * @param faults faults in force; read at each call
+ * @param random decides which answers are lost
+ * @param onCall told of each call
+ * @returns the store
+ */
+export function createMemoryStore(
+  keyValue: KeyValue,
+  faults: StoreFaults,
+  random: () => number = Math.random,
+  onCall: (kind: CallKind) => void = () => {},
+): Store {
+  async function call<T>(
+    kind: CallKind,
+    effect: () => T | Promise<T>,
+  ): Promise<Result<T, StoreFailure>> {
+    onCall(kind);
+    if (faults.down) return Result.err(StoreFailure.Unreachable);
+    if (faults.slowMs > 0) await delay(faults.slowMs);
+    if (faults.silent) return Result.err(StoreFailure.AnswerLost);
+    const answer = await effect();
+    const writes = kind === CallKind.Write || kind === CallKind.Lease;
+    if (writes && faults.lostAnswers > 0 && random() < faults.lostAnswers) {
+      return Result.err(StoreFailure.AnswerLost);
+    }
+    if (faults.down) return Result.err(StoreFailure.AnswerLost);
+    return Result.ok(answer);
+  }
+
+  return {
+    get: key => call(CallKind.Read, () => keyValue.get(key)),
+    list: prefix => call(CallKind.Read, () => keyValue.list(prefix)),
+    swap: swap => call(CallKind.Write, () => keyValue.swap(swap)),
+    grantLease: lengthMs =>
+      call(CallKind.Lease, () => keyValue.grantLease(lengthMs)),
+    renewLease: leaseId =>
+      call(CallKind.Lease, () => keyValue.renewLease(leaseId)),
+    revokeLease: leaseId =>
+      call(CallKind.Lease, () => keyValue.revokeLease(leaseId)),
+    watch: (prefix, afterRevision, waitMs) =>
+      call(CallKind.Watch, () => keyValue.watch(prefix, afterRevision, waitMs)),
+    dispose: () => {},
+  };
+}
--- /dev/null
+++ b/src/stand_ins/worker/index.ts
@@ -0,0 +1,6 @@
+/** Stand-in for workers. */
+export * from './memory_workers';
+export * from './run_record';
+export * from './worker_faults';
+export * from './worker_model';
+export * from './worker_server';
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,8 @@
+/** Observable values, mirrors of the store and waiting on the runtime's clock. */
+export * from './backoff';
+export * from './delay';
+export * from './mirror';
+export * from './mirror_entry';
+export * from './snapshot';
+export * from './write';
+export * from './write_outcome';
--- /dev/null
+++ b/src/telemetry/log.ts
@@ -0,0 +1,57 @@
+import {Roarr} from 'roarr';
+import {LogLevel} from './log_level';
+
+/** Writes log lines with fixed context. */
+export interface Log {
+  debug(message: string, context?: LogContext): void;
+  info(message: string, context?: LogContext): void;
+  warn(message: string, context?: LogContext): void;
+  error(message: string, context?: LogContext): void;
+}
+
+/** Fields of one log line. */
+export type LogContext = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+const LEVELS: readonly LogLevel[] = [
+  LogLevel.Debug,
+  LogLevel.Info,
+  LogLevel.Warn,
+  LogLevel.Error,
+];
+
+/**
+ * Sends the program's log lines to a function.
+ *
+ * @param write gets each line as JSON text
+ */
+export function setLogSink(write: (line: string) => void): void {
+  (globalThis as unknown as {ROARR: {write: typeof write}}).ROARR.write = write;
+}
+
+/**
+ * Creates a log that adds a context to each line.
+ *
+ * @param context fields of every line
+ * @param least least level that is written
+ */
+export function createLog(context: LogContext, least: LogLevel): Log {
+  const logger = Roarr.child({...context});
+  const enabled = (level: LogLevel) =>
+    LEVELS.indexOf(level) >= LEVELS.indexOf(least);
+  return {
+    debug(message, fields = {}) {
+      if (enabled(LogLevel.Debug)) logger.debug({...fields}, message);
+    },
+    info(message, fields = {}) {
+      if (enabled(LogLevel.Info)) logger.info({...fields}, message);
+    },
+    warn(message, fields = {}) {
+      if (enabled(LogLevel.Warn)) logger.warn({...fields}, message);
+    },
+    error(message, fields = {}) {
+      if (enabled(LogLevel.Error)) logger.error({...fields}, message);
+    },
+  };
+}
--- /dev/null
+++ b/src/telemetry/telemetry.ts
@@ -0,0 +1,119 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {
+  Decision,
+  DecisionKind,
+  Outcome,
+  RefusalReason,
+  RetryReason,
+} from '../types';
+import {DecisionRing, createDecisionRing} from './decision_ring';
+import {Log, createLog} from './log';
+import {LogLevel} from './log_level';
+
+/** A decision before the member and time are added. */
+export interface DecisionDraft {
+  readonly kind: DecisionKind;
+  readonly subject: string;
+  readonly pool: string;
+  readonly cause: string;
+  readonly inputs?: Decision['inputs'];
+}
+
+/** Log, metrics and recent decisions of one member. */
+export interface Telemetry {
+  readonly log: Log;
+  readonly registry: Registry;
+  readonly decisions: DecisionRing;
+  /** Records one decision: log line, counter and ring. */
+  decide(draft: DecisionDraft): void;
+  /** Counts a refusal. */
+  refused(service: string, reason: RefusalReason): void;
+  /** Counts a retry. */
+  retried(service: string, reason: RetryReason): void;
+  /** Counts an answer and its time in seconds. */
+  answered(service: string, outcome: Outcome, seconds: number): void;
+  /** Sets a gauge of a pool; registered at first use. */
+  gauge(name: string, help: string, pool: string, value: number): void;
+}
+
+const RING_LIMIT = 5_000;
+const LATENCY_BUCKETS_S = [
+  0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10,
+];
+
+/**
+ * Creates the telemetry of a member.
+ *
+ * @param memberId id of the member, on each line
+ * @param level least level of the log
+ */
+export function createTelemetry(
+  memberId: string,
+  level: LogLevel = LogLevel.Info,
+): Telemetry {
+  const registry = new Registry();
+  const log = createLog({member: memberId}, level);
+  const decisions = createDecisionRing(RING_LIMIT);
+  const gauges = new Map<string, Gauge>();
+  const decided = createCounter('decisions', 'Decisions by kind.', [
+    'kind',
+    'pool',
+  ]);
+  const refusals = createCounter('refusals', 'Refusals by reason.', [
+    'service',
+    'reason',
+  ]);
+  const retries = createCounter('retries', 'Retries by reason.', [
+    'service',
+    'reason',
+  ]);
+  const answers = new Histogram({
+    name: 'sesamefront_answer_seconds',
+    help: 'Time to the whole answer by outcome.',
+    labelNames: ['service', 'outcome'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+
+  function createCounter(
+    name: string,
+    help: string,
+    labelNames: string[],
+  ): Counter {
+    return new Counter({
+      name: `sesamefront_${name}_total`,
+      help,
+      labelNames,
+      registers: [registry],
+    });
+  }
+
+  return {
+    log,
+    registry,
+    decisions,
+    decide({kind, subject, pool, cause, inputs = {}}) {
+      const at = Date.now();
+      decisions.add({at, memberId, kind, subject, pool, cause, inputs});
+      decided.inc({kind, pool});
+      log.info(cause, {decision: kind, subject, pool, ...inputs});
+    },
+    refused: (service, reason) => refusals.inc({service, reason}),
+    retried: (service, reason) => retries.inc({service, reason}),
+    answered: (service, outcome, seconds) =>
+      answers.observe({service, outcome}, seconds),
+    gauge(name, help, pool, value) {
+      let gauge = gauges.get(name);
+      if (!gauge) {
+        gauge = new Gauge({
+          name: `sesamefront_${name}`,
+          help,
+          labelNames: ['pool'],
+          registers: [registry],
+        });
+        gauges.set(name, gauge);
+      }
+      gauge.set({pool}, value);
+    },
+  };
+}
--- /dev/null
+++ b/src/types/job_size.ts
@@ -0,0 +1,7 @@
+/** Resources that a job's task takes on a worker. */
+export interface JobSize {
+  readonly slots: number;
+  readonly processors: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+}
--- /dev/null
+++ b/src/types/member.ts
@@ -0,0 +1,13 @@
+/** An entry host's membership record, stored at members/ID under its lease. */
+export interface Member {
+  readonly id: string;
+  readonly availabilityZone: string;
+  readonly address: string;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly peerPort: number;
+  /** Start of the process in ms since the epoch. */
+  readonly startedAt: number;
+  /** True from the start of a planned stop. */
+  readonly leaving: boolean;
+}
--- /dev/null
+++ b/src/types/pool_record.ts
@@ -0,0 +1,11 @@
+import {Unavailability} from './unavailability';
+
+/** A pool's fenced record, stored at pools/NAME and written only by its leader. */
+export interface PoolRecord {
+  readonly pool: string;
+  /** Fencing term; grows by one with every change of leader. */
+  readonly term: number;
+  readonly leader: string;
+  /** Budget ledger: everything that makes a host unavailable. */
+  readonly unavailable: readonly Unavailability[];
+}
--- /dev/null
+++ b/src/types/retry_reason.ts
@@ -0,0 +1,11 @@
+/** Why a request was sent again; every retry is counted under one of these. */
+export enum RetryReason {
+  WorkerBusy = 'worker-busy',
+  WorkerLeaving = 'worker-leaving',
+  ConnectFailed = 'connect-failed',
+  ConnectionLost = 'connection-lost',
+  ConnectionSilent = 'connection-silent',
+  Truncated = 'truncated',
+  Mismatched = 'mismatched',
+  WorkerFailed = 'worker-failed',
+}
--- /dev/null
+++ b/src/wiring/entry.ts
@@ -0,0 +1,89 @@
+import {createGrpcPeerServer} from '../adapters/peer';
+import {createCallersHandle} from '../http/callers';
+import {
+  createOperatorsHandle,
+  createProfileRoutes,
+  createStatusRoutes,
+  createWaveRoutes,
+} from '../http/operators';
+import {createListener} from '../http/shared';
+import {Settings} from '../settings';
+import {delay} from '../state';
+import {Telemetry, createTelemetry} from '../telemetry';
+import {Member} from '../types';
+import {createCore} from './core';
+import {Outside, createOutside} from './outside';
+
+/** A running entry host. */
+export interface Entry {
+  readonly member: Member;
+  readonly telemetry: Telemetry;
+  /** True while new requests are welcome. */
+  isReady(): boolean;
+  /** Planned stop: hands everything over and finishes requests in flight. */
+  stop(): Promise<void>;
+}
+
+/** Time between the loss of readiness and the end of listening, in ms. */
+const BALANCER_MS = 500;
+
+/**
+ * Wires and starts an entry host.
+ *
+ * The ports are bound before the actors exist, since the member's record names
+ * them; calls that come earlier are refused.
+ *
+ * @param settings checked settings
+ * @param outside the outside; the settings' adapters by default
+ */
+export async function createEntry(
+  settings: Settings,
+  outside: Outside = createOutside(settings),
+): Promise<Entry> {
+  const {address, memberId} = settings;
+  const telemetry = createTelemetry(memberId, settings.logLevel);
+  const callers = await createListener(address, settings.callerPort);
+  const operators = await createListener(address, settings.operatorPort);
+  const peerServer = await createGrpcPeerServer(address, settings.peerPort);
+
+  const member: Member = {
+    id: memberId,
+    availabilityZone: settings.availabilityZone,
+    address,
+    callerPort: callers.port,
+    operatorPort: operators.port,
+    peerPort: peerServer.port,
+    startedAt: Date.now(),
+    leaving: false,
+  };
+  const core = createCore({self: member, outside, telemetry});
+  peerServer.serve(core.handlers);
+  callers.serve(createCallersHandle({...core, telemetry}));
+  operators.serve(
+    createOperatorsHandle(
+      [
+        ...createProfileRoutes(core.configuration),
+        ...createWaveRoutes(core.waves),
+        ...createStatusRoutes({...core, telemetry}),
+      ],
+      settings.operatorToken,
+    ),
+  );
+  let stopped: Promise<void> | undefined;
+
+  async function stop(): Promise<void> {
+    await core.startStop();
+    await delay(BALANCER_MS);
+    await callers.dispose();
+    await core.finishStop();
+    await operators.dispose();
+    await peerServer.dispose();
+  }
+
+  return {
+    member,
+    telemetry,
+    isReady: core.isReady,
+    stop: () => (stopped ??= stop()),
+  };
+}
--- /dev/null
+++ b/src/wiring/outside.ts
@@ -0,0 +1,34 @@
+import {createHttpHostList} from '../adapters/host_list';
+import {createGrpcPeers} from '../adapters/peer';
+import {createHttpStore} from '../adapters/store';
+import {createHttpWorkers} from '../adapters/worker';
+import {HostList, Peers, Store, Workers} from '../ports';
+import {Settings} from '../settings';
+
+/** The outside of an entry host. */
+export interface Outside {
+  readonly store: Store;
+  readonly hostList: HostList;
+  readonly workers: Workers;
+  readonly peers: Peers;
+}
+
+/** Creates the adapters that the settings name. */
+export function createOutside(settings: Settings): Outside {
+  return {
+    store: createHttpStore({
+      urls: settings.storeUrls,
+      timeoutMs: settings.storeTimeoutMs,
+    }),
+    hostList: createHttpHostList({
+      url: settings.hostListUrl,
+      timeoutMs: settings.storeTimeoutMs,
+    }),
+    workers: createHttpWorkers({
+      connectionsPerWorker: settings.connectionsPerWorker,
+      controlTimeoutMs: settings.workerTimeoutMs,
+      connectTimeoutMs: settings.workerTimeoutMs,
+    }),
+    peers: createGrpcPeers(),
+  };
+}
--- /dev/null
+++ b/src/wiring/pool_leaders.ts
@@ -0,0 +1,75 @@
+import {ActorSystemRef} from 'nact';
+import {ConfigurationActor} from '../actors/configuration';
+import {FleetView, createPoolFleetActor} from '../actors/fleet';
+import {createPoolJobsActor} from '../actors/jobs';
+import {LeadershipActor} from '../actors/membership';
+import {Telemetry} from '../telemetry';
+import {Outside} from './outside';
+
+/** Everything that runs only at the leaders of pools. */
+export interface PoolLeaders {
+  dispose(): void;
+}
+
+/** Where the leaders' actors get what they need. */
+export interface PoolLeadersOptions {
+  readonly system: ActorSystemRef;
+  readonly outside: Outside;
+  readonly telemetry: Telemetry;
+  readonly view: FleetView;
+  readonly configuration: ConfigurationActor;
+  readonly leadership: LeadershipActor;
+}
+
+interface Led {
+  readonly term: number;
+  readonly dispose: () => void;
+}
+
+/** Starts and stops the leader's actors of each pool as leaderships come and go. */
+export function createPoolLeaders(options: PoolLeadersOptions): PoolLeaders {
+  const running = new Map<string, Led>();
+
+  function follow(led: ReadonlyMap<string, number>): void {
+    for (const [pool, known] of running) {
+      if (led.get(pool) === known.term) continue;
+      known.dispose();
+      running.delete(pool);
+    }
+    for (const [pool, term] of led) {
+      if (!running.has(pool)) running.set(pool, start(pool, term));
+    }
+  }
+
+  function start(pool: string, term: number): Led {
+    const {system, outside, telemetry, view, configuration} = options;
+    const {store, workers} = outside;
+    const shared = {system, store, workers, telemetry, pool, term};
+    const fleet = createPoolFleetActor({
+      ...shared,
+      view,
+      getProfile: () =>
+        configuration.current.get()?.profiles.find(p => p.pool === pool),
+    });
+    const jobs = createPoolJobsActor({
+      ...shared,
+      getHosts: () => view.getPoolHosts(pool),
+    });
+    return {
+      term,
+      dispose() {
+        fleet.dispose();
+        jobs.dispose();
+      },
+    };
+  }
+
+  const stopFollowing = options.leadership.led.onChange(follow);
+
+  return {
+    dispose() {
+      stopFollowing();
+      follow(new Map());
+    },
+  };
+}
