Add the leader's slot ledger port and the frame of the scale bench

Cause: lending of slots and placement of long work are built side by side and must share one ledger. Change: PoolSlots with reservations only, wired per led pool; the scale bench's slope and line fit.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,12 @@
 import {parseArgs} from 'node:util';
 import {runPathBench} from './path';
+import {runScaleBench} from './scale';
 import {Bench} from './shared';
 
 /** Every bench by its name. */
 const BENCHES: Readonly<Record<string, Bench>> = {
   path: runPathBench,
+  scale: runScaleBench,
 };
 
 const DEFAULT_SEED = 1;
--- /dev/null
+++ b/bench/scale/index.ts
@@ -0,0 +1,17 @@
+import {Bench} from '../shared';
+import {ScaleProbe, fitLine} from './slope';
+
+/** Probes by area; each measures its own roles and decisions. */
+const PROBES: Readonly<Record<string, ScaleProbe>> = {};
+
+/** Measures how each role's costs grow, and fits a line to each. */
+export const runScaleBench: Bench = async ({seed, quick, progress}) => {
+  const slopes = [];
+  for (const [area, probe] of Object.entries(PROBES)) {
+    progress(`slopes of ${area}`);
+    for (const slope of await probe(quick)) {
+      slopes.push({area, ...slope, fit: fitLine(slope.points)});
+    }
+  }
+  return {bench: 'scale', seed, measures: [], details: {slopes}};
+};
--- a/src/actors/jobs/pool_jobs_actor.ts
+++ b/src/actors/jobs/pool_jobs_actor.ts
@@ -12,6 +12,7 @@
   PoolHost,
 } from '../../types';
 import {createActor, createTicker} from '../shared';
+import {PoolSlots} from '../slots';
 
 /** The leader's keeper of one pool's long jobs. */
 export interface PoolJobsActor {
@@ -28,6 +29,8 @@
   /** Term under which this member leads the pool. */
   readonly term: number;
   readonly getHosts: () => readonly PoolHost[];
+  /** Ledger of the pool's slots, shared with interactive work. */
+  readonly slots: PoolSlots;
 }
 
 /** Length of a task's lease at its worker. */
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -2,6 +2,7 @@
 import {ConfigurationActor} from '../actors/configuration';
 import {FleetView, createPoolFleetActor} from '../actors/fleet';
 import {createPoolJobsActor} from '../actors/jobs';
+import {createPoolSlots} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
 import {Outside} from './outside';
@@ -51,15 +52,15 @@
       getProfile: () =>
         configuration.current.get()?.profiles.find(p => p.pool === pool),
     });
-    const jobs = createPoolJobsActor({
-      ...shared,
-      getHosts: () => view.getPoolHosts(pool),
-    });
+    const getHosts = () => view.getPoolHosts(pool);
+    const slots = createPoolSlots(getHosts);
+    const jobs = createPoolJobsActor({...shared, getHosts, slots});
     return {
       term,
       dispose() {
         fleet.dispose();
         jobs.dispose();
+        slots.dispose();
       },
     };
   }
