--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -1,97 +1,59 @@
-import type {Argv} from 'yargs';
-import {Settings} from '../../settings';
-import {LogLevel, setLogSink} from '../../telemetry';
+import type {Argv, Options} from 'yargs';
+import {
+  SETTINGS,
+  SettingInputs,
+  findSettings,
+  readSettings,
+} from '../../settings';
+import {LogFormat, formatLine, setLogSink} from '../../telemetry';
 import {createEntry} from '../../wiring';
 import {ExitCode} from '../exit_code';
+import {writeFindings} from '../findings';
+import {Output, writeRows} from '../output';
 
-const runOptions = {
-  'member-id': {
-    type: 'string',
-    describe: 'id of this entry host; entry-ADDRESS by default',
-  },
-  'availability-zone': {
-    type: 'string',
-    default: 'zone-a',
-    describe: 'availability zone of this entry host',
-  },
-  address: {
-    type: 'string',
-    default: '127.0.0.1',
-    describe: 'IP address to listen on',
-  },
-  'caller-port': {type: 'number', default: 8080, describe: "callers' port"},
-  'operator-port': {
-    type: 'number',
-    default: 8081,
-    describe: "operators' port",
-  },
-  'peer-port': {type: 'number', default: 8082, describe: "members' port"},
-  'store-url': {
-    type: 'string',
-    array: true,
-    default: ['http://127.0.0.1:9000'],
-    describe: 'base URL of the key-value service; may be repeated',
-  },
-  'host-list-url': {
-    type: 'string',
-    default: 'http://127.0.0.1:9000',
-    describe: 'base URL of the host list',
-  },
-  'operator-token': {
-    type: 'string',
-    describe: "token that operators' calls must carry",
-  },
-  'log-level': {
-    choices: Object.values(LogLevel),
-    default: LogLevel.Info,
-    describe: 'least level of log lines',
-  },
-  'store-timeout-ms': {
-    type: 'number',
-    default: 1_000,
-    describe: 'time limit of a call to the key-value service',
-  },
-  'connections-per-worker': {
-    type: 'number',
-    default: 8,
-    describe: 'connections to one worker for requests',
-  },
-  'worker-timeout-ms': {
-    type: 'number',
-    default: 1_000,
-    describe: 'time limit of a control call to a worker',
-  },
-} as const;
+const SECRET_MASK = '********';
 
 /** Adds the command that runs an entry host. */
 export function addRun(yargs: Argv): Argv {
   return yargs.command(
     'run',
-    'run an entry host',
-    command => command.options(runOptions),
+    'run an entry host; every flag can also be a SESAMEFRONT_* variable',
+    command =>
+      command
+        .options(settingOptions())
+        .option('print-settings', {
+          type: 'boolean',
+          default: false,
+          describe: 'show every setting with its source and start nothing',
+        })
+        .example(
+          '$0 run --address 127.0.0.2 --store-url http://127.0.0.1:9000',
+          'run a second entry host against the stand-in platform',
+        )
+        .example(
+          'SESAMEFRONT_LOG_LEVEL=debug $0 run --print-settings',
+          'show the settings that would be used',
+        ),
     async options => {
-      setLogSink(line => process.stdout.write(`${line}\n`));
-      const settings: Settings = {
-        memberId: options.memberId ?? `entry-${options.address}`,
-        availabilityZone: options.availabilityZone,
-        address: options.address,
-        callerPort: options.callerPort,
-        operatorPort: options.operatorPort,
-        peerPort: options.peerPort,
-        storeUrls: options.storeUrl,
-        hostListUrl: options.hostListUrl,
-        operatorToken: options.operatorToken,
-        logLevel: options.logLevel,
-        storeTimeoutMs: options.storeTimeoutMs,
-        connectionsPerWorker: options.connectionsPerWorker,
-        workerTimeoutMs: options.workerTimeoutMs,
+      const inputs: SettingInputs = {
+        flags: options,
+        environment: process.env,
       };
-      const entry = await createEntry(settings);
+      if (options.printSettings) printSettings(inputs);
+      const read = readSettings(inputs);
+      if (read.isErr) {
+        writeFindings(read.error);
+        process.exit(ExitCode.BadInput);
+      }
+      if (options.printSettings) process.exit(ExitCode.Done);
+      writeLog(read.value.logFormat);
+      const entry = await createEntry(read.value);
+      const {address, callerPort, operatorPort, peerPort} = entry.member;
       entry.telemetry.log.info('listening', {
-        address: settings.address,
-        callerPort: entry.member.callerPort,
-        operatorPort: entry.member.operatorPort,
-        peerPort: entry.member.peerPort,
+        address,
+        callerPort,
+        operatorPort,
+        peerPort,
       });
       const stop = () =>
         void entry.stop().then(() => process.exit(ExitCode.Done));
@@ -100,3 +62,35 @@
     },
   );
 }
+
+function settingOptions(): Record<string, Options> {
+  return Object.fromEntries(
+    SETTINGS.map(({flag, describe, defaultValue, repeatable}) => [
+      flag,
+      {
+        type: 'string',
+        array: repeatable,
+        describe,
+        defaultDescription: defaultValue?.toString(),
+        requiresArg: true,
+      } satisfies Options,
+    ]),
+  );
+}
+
+function printSettings(inputs: SettingInputs): void {
+  const rows = findSettings(inputs).map(({flag, value, place, secret}) => ({
+    setting: flag,
+    value: secret && value !== undefined ? SECRET_MASK : String(value ?? ''),
+    source: place,
+  }));
+  writeRows(Output.Table, rows);
+}
+
+function writeLog(format: LogFormat): void {
+  const colour = process.stdout.isTTY === true;
+  setLogSink(line => {
+    const text = format === LogFormat.Json ? line : formatLine(line, colour);
+    process.stdout.write(`${text}\n`);
+  });
+}
--- a/src/cli/commands/shared_options.ts
+++ b/src/cli/commands/shared_options.ts
@@ -5,10 +5,16 @@
 export const operatorOptions = {
   url: {
     type: 'string',
-    default: 'http://127.0.0.1:8081',
+    default: process.env.SESAMEFRONT_URL ?? 'http://127.0.0.1:8081',
+    defaultDescription: 'SESAMEFRONT_URL or http://127.0.0.1:8081',
     describe: "base URL of an entry host's operators' port",
   },
-  token: {type: 'string', describe: "operators' token"},
+  token: {
+    type: 'string',
+    default: process.env.SESAMEFRONT_TOKEN,
+    defaultDescription: 'SESAMEFRONT_TOKEN',
+    describe: "operators' token",
+  },
   output: {
     choices: Object.values(Output),
     default: Output.Table,
@@ -20,7 +26,8 @@
 export const callerOptions = {
   'caller-url': {
     type: 'string',
-    default: 'http://127.0.0.1:8080',
+    default: process.env.SESAMEFRONT_CALLER_URL ?? 'http://127.0.0.1:8080',
+    defaultDescription: 'SESAMEFRONT_CALLER_URL or http://127.0.0.1:8080',
     describe: "base URL of an entry host's callers' port",
   },
   output: operatorOptions.output,
--- a/src/cli/demo/demo_site.ts
+++ b/src/cli/demo/demo_site.ts
@@ -5,7 +5,7 @@
   createWorkerModel,
   createWorkerServer,
 } from '../../stand_ins/worker';
-import {LogLevel} from '../../telemetry';
+import {LogFormat, LogLevel} from '../../telemetry';
 import {Host} from '../../types';
 import {Entry, createEntry} from '../../wiring';
 import {callJson} from './http_call';
@@ -100,6 +100,7 @@
     storeUrls: [url],
     hostListUrl: url,
     logLevel: LogLevel.Warn,
+    logFormat: LogFormat.Json,
     storeTimeoutMs: 1_000,
     connectionsPerWorker: 8,
     workerTimeoutMs: 1_000,
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -18,7 +18,6 @@
 export async function runCommandLine(args: readonly string[]): Promise<void> {
   const parser = yargs([...args])
     .scriptName('sesamefront')
-    .env('SESAMEFRONT')
     .version(VERSION)
     .strict()
     .recommendCommands()
--- /dev/null
+++ b/src/settings/given_setting.ts
@@ -0,0 +1,8 @@
+/** A setting's value with the place that it came from. */
+export interface GivenSetting {
+  readonly flag: string;
+  readonly value: unknown;
+  /** "--FLAG", the variable's name, or "default". */
+  readonly place: string;
+  readonly secret: boolean;
+}
--- /dev/null
+++ b/src/settings/setting_list.ts
@@ -0,0 +1,148 @@
+import {isIP} from 'node:net';
+import {z} from 'zod';
+import {LogFormat, LogLevel} from '../telemetry';
+import {Setting} from './setting';
+
+const MAX_PORT = 65_535;
+const MAX_TIMEOUT_MS = 60_000;
+const MAX_CONNECTIONS = 64;
+
+const port = z.coerce
+  .number({error: 'must be a port number'})
+  .int('must be a port number')
+  .min(0, 'must be a port number')
+  .max(MAX_PORT, 'must be a port number');
+
+const timeout = z.coerce
+  .number({error: 'must be a time in ms'})
+  .int('must be a whole number of ms')
+  .min(10, 'must be at least 10 ms')
+  .max(MAX_TIMEOUT_MS, `must be at most ${MAX_TIMEOUT_MS} ms`);
+
+const name = z
+  .string()
+  .regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/,
+    'must be a name of 1 to 63 letters, digits, ".", "_" or "-"',
+  );
+
+const ipAddress = z
+  .string()
+  .refine(text => isIP(text) !== 0, 'must be an IP address');
+
+const baseUrl = z
+  .string()
+  .refine(isBaseUrl, 'must be an http or https URL without a path');
+
+/** Every setting of an entry host, in the order of the help text. */
+export const SETTINGS: readonly Setting[] = [
+  {
+    key: 'memberId',
+    flag: 'member-id',
+    describe: 'id of this entry host; entry-ADDRESS by default',
+    schema: name.optional(),
+  },
+  {
+    key: 'availabilityZone',
+    flag: 'availability-zone',
+    describe: 'availability zone of this entry host',
+    schema: name,
+    defaultValue: 'zone-a',
+  },
+  {
+    key: 'address',
+    flag: 'address',
+    describe: 'IP address to listen on',
+    schema: ipAddress,
+    defaultValue: '127.0.0.1',
+  },
+  {
+    key: 'callerPort',
+    flag: 'caller-port',
+    describe: "callers' port",
+    schema: port,
+    defaultValue: 8080,
+  },
+  {
+    key: 'operatorPort',
+    flag: 'operator-port',
+    describe: "operators' port",
+    schema: port,
+    defaultValue: 8081,
+  },
+  {
+    key: 'peerPort',
+    flag: 'peer-port',
+    describe: "members' port",
+    schema: port,
+    defaultValue: 8082,
+  },
+  {
+    key: 'storeUrls',
+    flag: 'store-url',
+    describe: 'base URL of the key-value service; may be repeated',
+    schema: z.array(baseUrl).min(1),
+    defaultValue: ['http://127.0.0.1:9000'],
+    repeatable: true,
+  },
+  {
+    key: 'hostListUrl',
+    flag: 'host-list-url',
+    describe: 'base URL of the host list',
+    schema: baseUrl,
+    defaultValue: 'http://127.0.0.1:9000',
+  },
+  {
+    key: 'operatorToken',
+    flag: 'operator-token',
+    describe: "token that operators' calls must carry",
+    schema: z.string().min(8, 'must have at least 8 characters').optional(),
+    secret: true,
+  },
+  {
+    key: 'logLevel',
+    flag: 'log-level',
+    describe: `least level of log lines: ${Object.values(LogLevel).join(', ')}`,
+    schema: z.enum(LogLevel),
+    defaultValue: LogLevel.Info,
+  },
+  {
+    key: 'logFormat',
+    flag: 'log-format',
+    describe: `form of log lines: ${Object.values(LogFormat).join(', ')}`,
+    schema: z.enum(LogFormat),
+    defaultValue: LogFormat.Json,
+  },
+  {
+    key: 'storeTimeoutMs',
+    flag: 'store-timeout-ms',
+    describe: 'time limit of a call to the key-value service',
+    schema: timeout,
+    defaultValue: 1_000,
+  },
+  {
+    key: 'connectionsPerWorker',
+    flag: 'connections-per-worker',
+    describe: 'connections to one worker for requests',
+    schema: z.coerce
+      .number({error: 'must be a number'})
+      .int('must be a whole number')
+      .min(1, 'must be at least 1')
+      .max(MAX_CONNECTIONS, `must be at most ${MAX_CONNECTIONS}`),
+    defaultValue: 8,
+  },
+  {
+    key: 'workerTimeoutMs',
+    flag: 'worker-timeout-ms',
+    describe: 'time limit of a control call to a worker',
+    schema: timeout,
+    defaultValue: 1_000,
+  },
+];
+
+function isBaseUrl(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const {protocol, pathname, search, hash} = new URL(text);
+  const web = protocol === 'http:' || protocol === 'https:';
+  return web && pathname === '/' && search === '' && hash === '';
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import {LogLevel} from '../telemetry';
+import {LogFormat, LogLevel} from '../telemetry';
 
 /** Settings of one entry host. */
 export interface Settings {
@@ -15,6 +15,7 @@
   /** Token that operators' calls carry; undefined leaves them open. */
   readonly operatorToken?: string;
   readonly logLevel: LogLevel;
+  readonly logFormat: LogFormat;
   /** Time limit of a call to the key-value service, in ms. */
   readonly storeTimeoutMs: number;
   /** Connections to one worker for requests. */
--- /dev/null
+++ b/src/telemetry/format_line.ts
@@ -0,0 +1,42 @@
+import {styleText} from 'node:util';
+
+interface Line {
+  readonly time: number;
+  readonly message: string;
+  readonly context: Readonly<Record<string, string | number | boolean>>;
+}
+
+const LEVEL_NAMES: Readonly<Record<number, string>> = {
+  10: 'trace',
+  20: 'debug',
+  30: 'info',
+  40: 'warn',
+  50: 'error',
+  60: 'fatal',
+};
+
+/**
+ * Turns a JSON log line into one for a person.
+ *
+ * @param json the line as JSON text
+ * @param colour whether escape codes for colour may be used
+ */
+export function formatLine(json: string, colour: boolean): string {
+  const {time, message, context} = JSON.parse(json) as Line;
+  const {logLevel, member, ...fields} = context;
+  const level = LEVEL_NAMES[Number(logLevel)] ?? String(logLevel);
+  const details = Object.entries(fields)
+    .filter(([, value]) => value !== '')
+    .map(([name, value]) => `${name}=${value}`)
+    .join(' ');
+  const at = new Date(time).toISOString();
+  return `${at} ${paint(level, colour)} ${member} ${message} ${details}`.trimEnd();
+}
+
+function paint(level: string, colour: boolean): string {
+  const text = level.padEnd(5);
+  if (!colour) return text;
+  if (level === 'error' || level === 'fatal') return styleText('red', text);
+  if (level === 'warn') return styleText('yellow', text);
+  return styleText('dim', text);
+}
