Relay the store between members; fence leadership by lease and term; gossip the configuration

Cause: every member kept six long polls at the store, so that calls grew with members times changes; a leader kept its pools until the next 500 ms review after its lease ran out; a lost answer to a change that another one followed was reported as a conflict; a restored store could put an old revision in force. Ruled out: one watch on the whole key space (job values would go to everyone); a gossip of deltas without the store's versions (compare-and-swap needs them). Change: members form a tree, oldest first; only the first follows the store and passes changes on, with a fall-back to other members and to the store itself. Claims carry the lease and a unique election id, leaders stop as soon as their lease is uncertain, a lower term or another holder makes them step down, vacant pools are assigned under a load bound. The configuration remembers its latest operation ids, is pushed to peers before the operator's answer and is written back into a store that lost it. Decisions are gathered from all members. Found on the way: protobufjs decoded 64-bit integers as Long objects and left default fields on the prototype; messages are plain data with numbers now.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -54,10 +54,11 @@
   );
   execFileSync('rm', [`${TARGET}/.${base}.commented.js`]);
   // Node's ES modules need the default import of this CommonJS package, with its extension.
+  // Without Long, 64-bit integers are decoded to numbers, also where that package is installed.
   const output = `${TARGET}/${base}.js`;
   const text = readFileSync(output, 'utf8').replace(
     'import * as $protobuf from "protobufjs/minimal"',
-    'import $protobuf from "protobufjs/minimal.js"',
+    'import $protobuf from "protobufjs/minimal.js";\n\n$protobuf.util.Long = null;\n$protobuf.configure()',
   );
   writeFileSync(output, text);
 }
--- a/src/actors/configuration/change_refusal.ts
+++ b/src/actors/configuration/change_refusal.ts
@@ -1,4 +1,9 @@
-import {Configuration, Finding, RefusalReason} from '../../types';
+import {
+  Configuration,
+  FieldDifference,
+  Finding,
+  RefusalReason,
+} from '../../types';
 
 /** Why a change was not accepted. */
 export interface ChangeRefusal {
@@ -6,4 +11,6 @@
   readonly findings: readonly Finding[];
   /** The configuration in force, for a conflict. */
   readonly current?: Configuration;
+  /** What separates the asked profiles from those in force, for a conflict. */
+  readonly differences?: readonly FieldDifference[];
 }
--- /dev/null
+++ b/src/actors/configuration/configuration_history.ts
@@ -0,0 +1,47 @@
+import {Store} from '../../ports';
+import {write} from '../../state';
+import {Configuration} from '../../types';
+
+/** Earlier revisions of the configuration in the store. */
+export interface ConfigurationHistory {
+  /** Keeps a revision that is about to be followed by another one. */
+  keep(configuration: Configuration): Promise<void>;
+  /** Reads an earlier revision; undefined if it isn't kept or can't be read. */
+  read(revision: number): Promise<Configuration | undefined>;
+}
+
+/** Revisions that are kept. */
+const KEPT_REVISIONS = 64;
+const PREFIX = 'config-history/';
+
+/** Creates the history on top of the store. */
+export function createConfigurationHistory(store: Store): ConfigurationHistory {
+  async function remove(revision: number): Promise<void> {
+    if (revision <= 0) return;
+    const key = keyOf(revision);
+    const found = await store.get(key);
+    if (found.isErr || !found.value) return;
+    const expectedVersion = found.value.version;
+    await store.swap({key, expectedVersion, value: undefined});
+  }
+
+  return {
+    async keep(configuration) {
+      await write(store, {
+        key: keyOf(configuration.revision),
+        expectedVersion: 0,
+        value: JSON.stringify(configuration),
+      });
+      await remove(configuration.revision - KEPT_REVISIONS);
+    },
+    async read(revision) {
+      const found = await store.get(keyOf(revision));
+      if (found.isErr || !found.value) return undefined;
+      return JSON.parse(found.value.value) as Configuration;
+    },
+  };
+}
+
+function keyOf(revision: number): string {
+  return `${PREFIX}${revision}`;
+}
--- /dev/null
+++ b/src/actors/configuration/gossip.ts
@@ -0,0 +1,94 @@
+import {AnyPeerHandler, Peers} from '../../ports';
+import {
+  HeldConfiguration,
+  fetchConfigurationMethod,
+  pushConfigurationMethod,
+} from '../../protocol';
+import {Configuration, Member} from '../../types';
+
+/** Passes the configuration in force between members. */
+export interface Gossip {
+  /** Reads another member's configuration, unless that is under way. */
+  pull(member: Member): Promise<void>;
+  /** Hands a configuration to some others; returns how many have it. */
+  push(configuration: Configuration): Promise<number>;
+  readonly handlers: readonly AnyPeerHandler[];
+}
+
+/** Where the gossip gets what it needs. */
+export interface GossipOptions {
+  readonly peers: Peers;
+  readonly selfId: string;
+  /** Other members that are worth a call. */
+  readonly getOthers: () => readonly Member[];
+  readonly getCurrent: () => Configuration | undefined;
+  /** Takes over a configuration heard from another member. */
+  readonly observe: (configuration: Configuration) => void;
+}
+
+const TIMEOUT_MS = 500;
+/** Members that get an accepted configuration at once; the relay tells the rest. */
+const PUSH_FANOUT = 3;
+
+/** Creates the gossip of a member. */
+export function createGossip(options: GossipOptions): Gossip {
+  const {peers, selfId, getOthers, getCurrent, observe} = options;
+  const pulling = new Set<string>();
+
+  async function fetch(member: Member): Promise<void> {
+    const held = await peers.call(
+      member,
+      fetchConfigurationMethod,
+      {memberId: selfId},
+      TIMEOUT_MS,
+    );
+    if (held.isOk) take(held.value);
+  }
+
+  function take({configuration}: HeldConfiguration): void {
+    if (configuration === '') return;
+    observe(JSON.parse(configuration) as Configuration);
+  }
+
+  return {
+    async pull(member) {
+      if (pulling.has(member.id)) return;
+      pulling.add(member.id);
+      await fetch(member);
+      pulling.delete(member.id);
+    },
+    async push(configuration) {
+      const held = encode(configuration);
+      const others = getOthers().slice(0, PUSH_FANOUT);
+      const replies = await Promise.all(
+        others.map(member =>
+          peers.call(member, pushConfigurationMethod, held, TIMEOUT_MS),
+        ),
+      );
+      return replies.filter(
+        reply => reply.isOk && reply.value.revision >= configuration.revision,
+      ).length;
+    },
+    handlers: [
+      {
+        method: fetchConfigurationMethod,
+        handle: async () => encode(getCurrent()),
+      },
+      {
+        method: pushConfigurationMethod,
+        handle: async (held: HeldConfiguration) => {
+          take(held);
+          return {revision: getCurrent()?.revision ?? 0};
+        },
+      },
+    ],
+  };
+}
+
+function encode(configuration: Configuration | undefined): HeldConfiguration {
+  if (!configuration) return {revision: 0, configuration: ''};
+  return {
+    revision: configuration.revision,
+    configuration: JSON.stringify(configuration),
+  };
+}
--- /dev/null
+++ b/src/actors/membership/explanations.ts
@@ -0,0 +1,82 @@
+import {PeerHandler, Peers} from '../../ports';
+import {
+  DecisionSearch,
+  DecisionSearchResult,
+  explainMethod,
+} from '../../protocol';
+import {Telemetry} from '../../telemetry';
+import {Decision, Member} from '../../types';
+
+/** Decisions about one subject, gathered from all members. */
+export interface Explanation {
+  /** Sorted by time, oldest first. */
+  readonly decisions: readonly Decision[];
+  readonly askedMembers: readonly string[];
+  /** Members that did not answer; their decisions are missing. */
+  readonly silentMembers: readonly string[];
+}
+
+/** Gathers decisions from all members. */
+export interface Explanations {
+  explain(subject: string): Promise<Explanation>;
+}
+
+/** Where the explanations get what they need. */
+export interface ExplanationsOptions {
+  readonly peers: Peers;
+  readonly telemetry: Telemetry;
+  /** The other members, leaving ones included. */
+  readonly getOthers: () => readonly Member[];
+}
+
+const TIMEOUT_MS = 1_000;
+/** Decisions that one member returns at most. */
+const LIMIT = 200;
+
+/** Creates the gathering of decisions. */
+export function createExplanations(options: ExplanationsOptions): Explanations {
+  const {peers, telemetry, getOthers} = options;
+
+  async function ask(
+    member: Member,
+    subject: string,
+  ): Promise<readonly Decision[] | undefined> {
+    const request = {subject, limit: LIMIT};
+    const reply = await peers.call(member, explainMethod, request, TIMEOUT_MS);
+    if (reply.isErr) return undefined;
+    return reply.value.decisions.map(text => JSON.parse(text) as Decision);
+  }
+
+  return {
+    async explain(subject) {
+      const others = getOthers();
+      const own = telemetry.decisions.find(subject).slice(-LIMIT);
+      const answers = await Promise.all(
+        others.map(member => ask(member, subject)),
+      );
+      const decisions = [...own, ...answers.flatMap(found => found ?? [])];
+      return {
+        decisions: decisions.sort((a, b) => a.at - b.at),
+        askedMembers: others.map(({id}) => id),
+        silentMembers: others
+          .filter((_, i) => answers[i] === undefined)
+          .map(({id}) => id),
+      };
+    },
+  };
+}
+
+/** Creates what answers other members' searches in the decisions of this one. */
+export function createExplainHandler(
+  telemetry: Telemetry,
+): PeerHandler<DecisionSearch, DecisionSearchResult> {
+  return {
+    method: explainMethod,
+    handle: async ({subject, limit}) => ({
+      decisions: telemetry.decisions
+        .find(subject)
+        .slice(-Math.min(limit, LIMIT))
+        .map(decision => JSON.stringify(decision)),
+    }),
+  };
+}
--- a/src/actors/membership/index.ts
+++ b/src/actors/membership/index.ts
@@ -1,4 +1,6 @@
 /** Membership of this process and leadership of pools. */
+export * from './explanations';
 export * from './heartbeats';
 export * from './leadership_actor';
 export * from './membership_actor';
+export * from './relay';
--- a/src/actors/membership/leadership_actor.ts
+++ b/src/actors/membership/leadership_actor.ts
@@ -1,14 +1,7 @@
 import {ActorSystemRef, Ref, dispatch} from 'nact';
-import {findPreferredMember} from '../../decisions/membership';
+import {assignLeaders} from '../../decisions/membership';
 import {Store} from '../../ports';
-import {
-  Mirror,
-  Snapshot,
-  WriteOutcome,
-  createMirror,
-  createSnapshot,
-  write,
-} from '../../state';
+import {Mirror, Snapshot, createMirror, createSnapshot} from '../../state';
 import {Telemetry} from '../../telemetry';
 import {
   Configuration,
@@ -17,11 +10,12 @@
   PoolRecord,
 } from '../../types';
 import {createActor, createTicker} from '../shared';
+import {claimKey, createElections, poolKey} from './elections';
 import {MembershipActor} from './membership_actor';
 
 /** Which pools this member leads, and who leads the others. */
 export interface LeadershipActor {
-  /** Terms of the pools that this member leads, by pool. */
+  /** Terms of the pools that this member certainly leads, by pool. */
   readonly led: Snapshot<ReadonlyMap<string, number>>;
   /** Leaders by pool, as last known. */
   getLeaders(): ReadonlyMap<string, LeaderRecord>;
@@ -49,13 +43,9 @@
   readonly reply?: Ref<boolean>;
 }
 
-interface State {
-  readonly led: ReadonlyMap<string, number>;
-  readonly stopping: boolean;
-}
-
 const REVIEW_MS = 500;
-const PREFIX = 'leaders/';
+/** Time between two looks at the lease while pools are led. */
+const LEASE_CHECK_MS = 100;
 
 /** Creates the actor that takes and gives up the leadership of pools. */
 export function createLeadershipActor(
@@ -63,93 +53,97 @@
 ): LeadershipActor {
   const {system, store, telemetry, membership, configuration} = options;
   const {self} = membership;
-  const mirror: Mirror<LeaderRecord> = createMirror(store, PREFIX);
+  const claims: Mirror<LeaderRecord> = createMirror(store, 'leaders/');
+  const records: Mirror<PoolRecord> = createMirror(store, 'pools/');
+  const elections = createElections({
+    store,
+    memberId: self.id,
+    claims,
+    records,
+  });
   const led = createSnapshot<ReadonlyMap<string, number>>(new Map());
+  let stopping = false;
+  let pending = false;
 
-  const actor = createActor<State, Message>({
+  const actor = createActor<undefined, Message>({
     system,
     name: 'leadership',
-    initial: {led: new Map(), stopping: false},
+    initial: undefined,
     log: telemetry.log,
-    handle: async (state, message) => {
-      const next =
-        message.kind === MessageKind.StepDown
-          ? await releaseAll(state)
-          : await review(state);
-      if (!sameTerms(next.led, led.get())) led.set(next.led);
+    handle: async (_, message) => {
+      if (message.kind === MessageKind.Review) {
+        pending = false;
+        await review();
+      } else {
+        await releaseAll();
+      }
       if (message.reply) dispatch(message.reply, true);
-      return next;
+      return undefined;
     },
   });
 
-  async function review(state: State): Promise<State> {
+  async function review(): Promise<void> {
     const leaseId = membership.getLease();
-    if (!leaseId || !mirror.synced.get()) return dropAll(state);
-    if (state.stopping) return state;
-    const next = new Map(state.led);
-    for (const {pool} of configuration.get()?.profiles ?? []) {
-      await reviewPool(pool, leaseId, next);
+    const known = configuration.get();
+    if (!leaseId || !claims.synced.get() || !records.synced.get()) return;
+    if (stopping || !known) return;
+    const pools = known.profiles.map(profile => profile.pool);
+    const leaders = new Map(
+      [...claims.entries.get().values()].map(({value}) => [
+        value.pool,
+        value.memberId,
+      ]),
+    );
+    const members = membership.members.get();
+    const assigned = assignLeaders(pools, members, leaders);
+    const involved = new Set([...pools, ...led.get().keys()]);
+    for (const [pool, leader] of leaders) {
+      if (leader === self.id) involved.add(pool);
     }
-    return {...state, led: next};
+    await Promise.all(
+      [...involved].map(pool =>
+        reviewPool(pool, assigned.get(pool) === self.id, leaseId),
+      ),
+    );
   }
 
   async function reviewPool(
     pool: string,
+    wanted: boolean,
     leaseId: string,
-    next: Map<string, number>,
   ): Promise<void> {
-    const members = membership.members.get();
-    const preferred = findPreferredMember(pool, members)?.id === self.id;
-    const record = mirror.entries.get().get(keyOf(pool));
-    const mine = record?.value.memberId === self.id;
-    if (next.has(pool) && !mine && record) next.delete(pool);
-    if (preferred && !record) return elect(pool, leaseId, next);
-    if (preferred && mine && !next.has(pool)) return takeTerm(pool, next);
-    if (!preferred && mine) await release(pool, next);
+    dropIfLost(pool, leaseId);
+    const claim = claims.entries.get().get(claimKey(pool))?.value;
+    const mine = claim?.memberId === self.id && claim.leaseId === leaseId;
+    if (!wanted)
+      return mine ? release(pool, 'is assigned elsewhere') : undefined;
+    const vacant = !claim || (claim.memberId === self.id && !mine);
+    if (mine && !led.get().has(pool)) return lead(pool);
+    if (!vacant) return;
+    if (await elections.claim(pool, leaseId)) await lead(pool);
   }
 
-  async function elect(
-    pool: string,
-    leaseId: string,
-    next: Map<string, number>,
-  ): Promise<void> {
-    const value: LeaderRecord = {pool, memberId: self.id, since: Date.now()};
-    const key = keyOf(pool);
-    const written = await write(store, {
-      key,
-      expectedVersion: 0,
-      value: JSON.stringify(value),
-      leaseId,
-    });
-    if (written.outcome !== WriteOutcome.Written) return;
-    mirror.accept(key, written.version, value);
-    await takeTerm(pool, next);
+  function dropIfLost(pool: string, leaseId: string): void {
+    const term = led.get().get(pool);
+    if (term === undefined) return;
+    const claim = claims.entries.get().get(claimKey(pool))?.value;
+    const record = records.entries.get().get(poolKey(pool))?.value;
+    if (!claim) return drop(pool, 'its claim is gone');
+    if (claim.memberId !== self.id) {
+      return drop(pool, `${claim.memberId} holds the claim`);
+    }
+    if (claim.leaseId !== leaseId) {
+      return drop(pool, 'its claim was made under an earlier lease');
+    }
+    if (record?.term !== term || record.leader !== self.id) {
+      drop(pool, `the pool is at term ${record?.term ?? 0}`);
+    }
   }
 
-  async function takeTerm(
-    pool: string,
-    next: Map<string, number>,
-  ): Promise<void> {
-    const key = `pools/${pool}`;
-    const read = await store.get(key);
-    if (read.isErr) return;
-    const found = read.value
-      ? (JSON.parse(read.value.value) as PoolRecord)
-      : undefined;
-    const term = (found?.term ?? 0) + 1;
-    const record: PoolRecord = {
-      pool,
-      term,
-      leader: self.id,
-      unavailable: found?.unavailable ?? [],
-    };
-    const written = await write(store, {
-      key,
-      expectedVersion: read.value?.version ?? 0,
-      value: JSON.stringify(record),
-    });
-    if (written.outcome !== WriteOutcome.Written) return;
-    next.set(pool, term);
+  async function lead(pool: string): Promise<void> {
+    const term = await elections.raiseTerm(pool);
+    if (term === undefined || stopping || !membership.getLease()) return;
+    led.set(new Map(led.get()).set(pool, term));
     telemetry.decide({
       kind: DecisionKind.Lead,
       subject: pool,
@@ -159,57 +153,71 @@
     });
   }
 
-  async function release(
-    pool: string,
-    next: Map<string, number>,
-  ): Promise<void> {
-    next.delete(pool);
-    led.set(new Map(next));
-    const key = keyOf(pool);
-    const version = mirror.entries.get().get(key)?.version ?? 0;
-    const written = await write(store, {
-      key,
-      expectedVersion: version,
-      value: undefined,
-    });
-    if (written.outcome === WriteOutcome.Written) {
-      mirror.accept(key, version + 1, undefined);
-    }
+  function drop(pool: string, cause: string): void {
+    const term = led.get().get(pool);
+    if (term === undefined) return;
+    const rest = new Map(led.get());
+    rest.delete(pool);
+    led.set(rest);
     telemetry.decide({
       kind: DecisionKind.StepDown,
       subject: pool,
       pool,
-      cause: `${self.id} hands ${pool} over`,
+      cause: `${self.id} no longer leads ${pool}: ${cause}`,
+      inputs: {term},
     });
   }
 
-  async function releaseAll(state: State): Promise<State> {
-    const next = new Map(state.led);
-    for (const pool of state.led.keys()) await release(pool, next);
-    return {led: next, stopping: true};
+  async function release(pool: string, cause: string): Promise<void> {
+    drop(pool, cause);
+    await elections.release(pool);
   }
 
-  function dropAll(state: State): State {
-    for (const pool of state.led.keys()) {
+  async function releaseAll(): Promise<void> {
+    stopping = true;
+    const claimed = [...claims.entries.get().values()]
+      .filter(({value}) => value.memberId === self.id)
+      .map(({value}) => value.pool);
+    const pools = new Set([...led.get().keys(), ...claimed]);
+    await Promise.all([...pools].map(pool => release(pool, 'it stops')));
+  }
+
+  /** Acts outside of the actor, which may be waiting for the store. */
+  function checkLease(): void {
+    if (led.get().size === 0 || membership.getLease()) return;
+    const dropped = led.get();
+    led.set(new Map());
+    for (const [pool, term] of dropped) {
       telemetry.decide({
         kind: DecisionKind.StepDown,
         subject: pool,
         pool,
-        cause: `${self.id} no longer holds its lease`,
+        cause: `${self.id} no longer leads ${pool}: its lease is uncertain`,
+        inputs: {term},
       });
     }
-    return state.led.size > 0 ? {...state, led: new Map()} : state;
   }
 
-  const ticker = createTicker(REVIEW_MS, () =>
-    actor.tell({kind: MessageKind.Review}),
-  );
+  function reviewSoon(): void {
+    if (pending) return;
+    pending = true;
+    actor.tell({kind: MessageKind.Review});
+  }
+
+  const stops = [
+    claims.entries.onChange(reviewSoon),
+    records.entries.onChange(reviewSoon),
+    membership.members.onChange(reviewSoon),
+    configuration.onChange(reviewSoon),
+  ];
+  const reviewTicker = createTicker(REVIEW_MS, reviewSoon);
+  const leaseTicker = createTicker(LEASE_CHECK_MS, checkLease);
 
   return {
     led,
     getLeaders: () =>
       new Map(
-        [...mirror.entries.get().values()].map(({value}) => [
+        [...claims.entries.get().values()].map(({value}) => [
           value.pool,
           value,
         ]),
@@ -218,20 +226,13 @@
       await actor.ask(reply => ({kind: MessageKind.StepDown, reply}));
     },
     dispose() {
-      ticker.dispose();
-      mirror.dispose();
+      leaseTicker.dispose();
+      reviewTicker.dispose();
+      stops.forEach(stop => stop());
+      elections.dispose();
+      claims.dispose();
+      records.dispose();
       actor.dispose();
     },
   };
 }
-
-function keyOf(pool: string): string {
-  return `${PREFIX}${pool}`;
-}
-
-function sameTerms(
-  a: ReadonlyMap<string, number>,
-  b: ReadonlyMap<string, number>,
-): boolean {
-  return a.size === b.size && [...a].every(([pool, t]) => b.get(pool) === t);
-}
--- a/src/actors/membership/membership_actor.ts
+++ b/src/actors/membership/membership_actor.ts
@@ -1,24 +1,32 @@
+import {randomUUID} from 'node:crypto';
 import {ActorSystemRef, Ref, dispatch} from 'nact';
 import {Store} from '../../ports';
 import {
   Mirror,
   Snapshot,
   WriteOutcome,
+  createBackoff,
   createMirror,
   createSnapshot,
   write,
 } from '../../state';
 import {Telemetry} from '../../telemetry';
-import {DecisionKind, Member} from '../../types';
+import {DecisionKind, Member, MemberRecord} from '../../types';
 import {createActor, createTicker} from '../shared';
 
 /** This process as a member, and the members that it knows. */
 export interface MembershipActor {
   readonly self: Member;
+  /** Unique id of this run of the process. */
+  readonly incarnation: string;
   /** Live members sorted by id; the last known ones while the store is away. */
-  readonly members: Snapshot<readonly Member[]>;
+  readonly members: Snapshot<readonly MemberRecord[]>;
+  /** True once the members have been listed. */
+  hasListed(): boolean;
   /** Returns this member's lease while it certainly holds. */
   getLease(): string | undefined;
+  /** True if the last call about the lease was answered. */
+  isStoreAnswering(): boolean;
   /** Marks this member as leaving. */
   startLeaving(): Promise<void>;
   /** Ends the membership at once. */
@@ -67,12 +75,18 @@
   options: MembershipOptions,
 ): MembershipActor {
   const {system, store, telemetry, self} = options;
-  const mirror: Mirror<Member> = createMirror(store, PREFIX);
-  const members = createSnapshot<readonly Member[]>([]);
+  const incarnation = randomUUID();
+  const mirror: Mirror<MemberRecord> = createMirror(store, PREFIX);
+  const members = createSnapshot<readonly MemberRecord[]>([]);
   const lease = createSnapshot<Pick<State, 'leaseId' | 'validUntil'>>({
     validUntil: 0,
   });
+  const backoff = createBackoff();
   const key = `${PREFIX}${self.id}`;
+  let answering = false;
+  let pending = false;
+  /** Monotonic time before which a store that fails isn't called again, in ms. */
+  let retryAt = 0;
 
   const actor = createActor<State, Message>({
     system,
@@ -80,6 +94,7 @@
     initial: {validUntil: 0, version: 0, leaving: false},
     log: telemetry.log,
     handle: async (state, message) => {
+      if (message.kind === MessageKind.Renew) pending = false;
       const next = await handle(state, message);
       lease.set({leaseId: next.leaseId, validUntil: next.validUntil});
       if (message.reply) dispatch(message.reply, true);
@@ -100,9 +115,11 @@
   }
 
   async function renew(state: State): Promise<State> {
+    if (performance.now() < retryAt) return state;
     if (!state.leaseId) return state.leaving ? state : join(state);
     const askedAt = performance.now();
     const renewed = await store.renewLease(state.leaseId);
+    noteAnswer(renewed.isOk);
     if (renewed.isErr) return state;
     if (!renewed.value) {
       telemetry.log.warn('the membership lease has ended', {member: self.id});
@@ -112,15 +129,29 @@
     return state.version === 0 ? record(renewedState) : renewedState;
   }
 
+  /** Spreads the calls of all members once the store has failed for a lease's length. */
+  function noteAnswer(answered: boolean): void {
+    answering = answered;
+    if (answered) {
+      backoff.reset();
+      retryAt = 0;
+      return;
+    }
+    const waitMs = backoff.next();
+    if (waitMs > RENEW_MS) retryAt = performance.now() + waitMs;
+  }
+
   async function join(state: State): Promise<State> {
     const askedAt = performance.now();
     const granted = await store.grantLease(LEASE_MS);
+    noteAnswer(granted.isOk);
     if (granted.isErr) return {...state, validUntil: 0};
     telemetry.decide({
       kind: DecisionKind.Join,
       subject: self.id,
       pool: '',
       cause: `${self.id} joins in ${self.availabilityZone}`,
+      inputs: {incarnation},
     });
     const leaseId = granted.value;
     return record({...state, leaseId, validUntil: endOfLease(askedAt)});
@@ -130,7 +161,7 @@
     if (!state.leaseId) return state;
     const found = await store.get(key);
     if (found.isErr) return state;
-    const value: Member = {...self, leaving: state.leaving};
+    const value: MemberRecord = {...self, incarnation, leaving: state.leaving};
     const written = await write(store, {
       key,
       expectedVersion: found.value?.version ?? 0,
@@ -142,21 +173,28 @@
     return {...state, version: written.version};
   }
 
+  function renewSoon(): void {
+    if (pending) return;
+    pending = true;
+    actor.tell({kind: MessageKind.Renew});
+  }
+
   const stopFollowing = mirror.entries.onChange(entries => {
     const live = [...entries.values()].map(entry => entry.value);
     members.set(live.sort((a, b) => a.id.localeCompare(b.id)));
   });
-  const ticker = createTicker(RENEW_MS, () =>
-    actor.tell({kind: MessageKind.Renew}),
-  );
+  const ticker = createTicker(RENEW_MS, renewSoon);
 
   return {
     self,
+    incarnation,
     members,
+    hasListed: () => mirror.synced.get(),
     getLease() {
       const {leaseId, validUntil} = lease.get();
       return performance.now() < validUntil ? leaseId : undefined;
     },
+    isStoreAnswering: () => answering,
     async startLeaving() {
       await actor.ask(reply => ({kind: MessageKind.StartLeaving, reply}));
     },
--- /dev/null
+++ b/src/actors/membership/relay/index.ts
@@ -0,0 +1,3 @@
+/** Relay of the store's control records between members. */
+export * from './relay';
+export {RELAYED_PREFIXES} from './relay_logs';
--- a/src/decisions/configuration/index.ts
+++ b/src/decisions/configuration/index.ts
@@ -1,3 +1,5 @@
 /** Decisions about the operators' configuration. */
+export * from './acceptances';
 export * from './check_profile_set';
+export * from './diff_profiles';
 export * from './newer_configuration';
--- /dev/null
+++ b/src/decisions/membership/assign_leaders.ts
@@ -0,0 +1,71 @@
+import {createHash} from 'node:crypto';
+import {Member} from '../../types';
+
+/** Pools that a member may lead, as a multiple of the mean. */
+const LOAD_FACTOR = 1.25;
+const SCORE_BYTES = 6;
+
+/**
+ * Assigns every pool to the member that should lead it.
+ *
+ * A live leader keeps its pools up to the load bound, so that a new member
+ * moves no more pools than it has to. A vacant pool goes to the member with the
+ * highest rendezvous score among those below the bound.
+ *
+ * @param pools names of the pools
+ * @param members live members; leaving ones get no pool
+ * @param leaders ids of the current leaders by pool
+ * @returns ids of the members by pool; empty if there is no member
+ */
+export function assignLeaders(
+  pools: readonly string[],
+  members: readonly Member[],
+  leaders: ReadonlyMap<string, string>,
+): ReadonlyMap<string, string> {
+  const ids = members.filter(({leaving}) => !leaving).map(({id}) => id);
+  if (ids.length === 0) return new Map();
+  const bound = Math.ceil((pools.length / ids.length) * LOAD_FACTOR);
+  const assigned = keepLeaders(pools, ids, leaders, bound);
+  const loads = new Map(ids.map(id => [id, 0]));
+  for (const id of assigned.values()) loads.set(id, (loads.get(id) ?? 0) + 1);
+  for (const pool of [...pools].sort()) {
+    if (assigned.has(pool)) continue;
+    const free = ids.filter(id => (loads.get(id) ?? 0) < bound);
+    const best = findHighestScore(pool, free);
+    assigned.set(pool, best);
+    loads.set(best, (loads.get(best) ?? 0) + 1);
+  }
+  return assigned;
+}
+
+function keepLeaders(
+  pools: readonly string[],
+  ids: readonly string[],
+  leaders: ReadonlyMap<string, string>,
+  bound: number,
+): Map<string, string> {
+  const kept = new Map<string, string>();
+  for (const id of ids) {
+    const led = pools.filter(pool => leaders.get(pool) === id);
+    if (led.length > bound) led.sort((a, b) => scoreOf(b, id) - scoreOf(a, id));
+    for (const pool of led.slice(0, bound)) kept.set(pool, id);
+  }
+  return kept;
+}
+
+function findHighestScore(pool: string, ids: readonly string[]): string {
+  let best = ids[0];
+  let bestScore = -1;
+  for (const id of ids) {
+    const score = scoreOf(pool, id);
+    if (score <= bestScore) continue;
+    best = id;
+    bestScore = score;
+  }
+  return best;
+}
+
+function scoreOf(pool: string, memberId: string): number {
+  const digest = createHash('sha1').update(`${pool}\n${memberId}`).digest();
+  return digest.readUIntBE(0, SCORE_BYTES);
+}
--- a/src/protocol/heartbeat.ts
+++ b/src/protocol/heartbeat.ts
@@ -8,6 +8,10 @@
   readonly memberId: string;
   /** Revision of the configuration in force; 0 for none. */
   readonly configurationRevision: number;
+  /** Tells one run of a member's process from the next. */
+  readonly incarnation: string;
+  /** True while the store answers the sender. */
+  readonly storeAnswers: boolean;
 }
 
 /** Method by which members tell each other that they are alive. */
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,3 +1,6 @@
 /** Messages between members: protobuf definitions and their gRPC methods. */
+export * from './explain';
+export * from './gossip';
 export * from './heartbeat';
 export * from './method';
+export * from './relay';
--- a/src/protocol/method.ts
+++ b/src/protocol/method.ts
@@ -23,8 +23,22 @@
     requestStream: false,
     responseStream: false,
     requestSerialize: value => Buffer.from(request.encode(value).finish()),
-    requestDeserialize: bytes => request.decode(bytes),
+    requestDeserialize: bytes => toPlain(request.decode(bytes)),
     responseSerialize: value => Buffer.from(reply.encode(value).finish()),
-    responseDeserialize: bytes => reply.decode(bytes),
+    responseDeserialize: bytes => toPlain(reply.decode(bytes)),
   };
 }
+
+/** A message of the static code, whose absent fields are on its prototype only. */
+interface DecodedMessage {
+  readonly constructor: {
+    toObject?(message: unknown, options: object): unknown;
+  };
+}
+
+/** Returns a message as plain data that holds every field. */
+function toPlain<T>(message: T): T {
+  const {constructor} = message as DecodedMessage;
+  if (!constructor.toObject) return message;
+  return constructor.toObject(message, {defaults: true, arrays: true}) as T;
+}
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -1,5 +1,7 @@
 /** Observable values, mirrors of the store and waiting on the runtime's clock. */
 export * from './backoff';
+export * from './call_budget';
+export * from './change_log';
 export * from './delay';
 export * from './mirror';
 export * from './mirror_entry';
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -35,6 +35,8 @@
   const connected = createSnapshot(false);
   const backoff = createBackoff();
   const abort = new AbortController();
+  /** Least revisions of changes to keys whose deletion was accepted before the watch told it. */
+  const deletedAt = new Map<string, number>();
   let revision = 0;
 
   async function follow(): Promise<void> {
@@ -51,6 +53,7 @@
     const listing = await store.list(prefix);
     if (listing.isErr) return false;
     revision = listing.value.revision;
+    deletedAt.clear();
     entries.set(
       new Map(listing.value.entries.map(entry => [entry.key, decode(entry)])),
     );
@@ -82,6 +85,8 @@
   ): void {
     const known = next.get(change.key);
     if (known && known.version > change.revision) return;
+    if (change.revision < (deletedAt.get(change.key) ?? 0)) return;
+    deletedAt.delete(change.key);
     if (change.entry) next.set(change.key, decode(change.entry));
     else next.delete(change.key);
   }
@@ -104,8 +109,12 @@
       const known = entries.get().get(key);
       if (known && known.version >= version) return;
       const next = new Map(entries.get());
-      if (value === undefined) next.delete(key);
-      else next.set(key, {key, version, value});
+      if (value === undefined) {
+        next.delete(key);
+        deletedAt.set(key, version);
+      } else {
+        next.set(key, {key, version, value});
+      }
       entries.set(next);
     },
     dispose: () => abort.abort(),
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -1,3 +1,4 @@
+import {Acceptance} from './acceptance';
 import {Profile} from './profile';
 
 /** One accepted revision of the operators' configuration, stored at config/current. */
@@ -9,4 +10,6 @@
   /** Wall-clock time of acceptance in ms since the epoch. */
   readonly acceptedAt: number;
   readonly profiles: readonly Profile[];
+  /** Acceptances up to this one, oldest first; the latest ones only. */
+  readonly recent?: readonly Acceptance[];
 }
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,7 +1,9 @@
 /** Data that the whole program shares. */
+export * from './acceptance';
 export * from './configuration';
 export * from './decision';
 export * from './decision_kind';
+export * from './field_difference';
 export * from './finding';
 export * from './host';
 export * from './host_assignment';
@@ -13,6 +15,9 @@
 export * from './leader_record';
 export * from './loan';
 export * from './member';
+export * from './member_record';
+export * from './member_sight';
+export * from './member_verdict';
 export * from './outcome';
 export * from './pool_host';
 export * from './pool_record';
--- a/src/types/pool_record.ts
+++ b/src/types/pool_record.ts
@@ -6,6 +6,8 @@
   /** Fencing term; grows by one with every change of leader. */
   readonly term: number;
   readonly leader: string;
+  /** Election that gave the term; tells two attempts at one term apart. */
+  readonly electionId?: string;
   /** Budget ledger: everything that makes a host unavailable. */
   readonly unavailable: readonly Unavailability[];
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -6,17 +6,21 @@
 import {FleetView, Waves, createFleetView, createWaves} from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
+  Explanations,
   Heartbeats,
   LeadershipActor,
   MembershipActor,
+  Relay,
+  createExplainHandler,
+  createExplanations,
   createHeartbeats,
   createLeadershipActor,
   createMembershipActor,
+  createRelay,
 } from '../actors/membership';
 import {Requests, createRequests} from '../actors/requests';
 import {SlotPolicy, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
-import {heartbeatMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
 import {Member} from '../types';
 import {Outside} from './outside';
@@ -27,6 +31,8 @@
   readonly configuration: ConfigurationActor;
   readonly membership: MembershipActor;
   readonly heartbeats: Heartbeats;
+  readonly relay: Relay;
+  readonly explanations: Explanations;
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
@@ -51,25 +57,48 @@
   readonly telemetry: Telemetry;
   /** Decides which slots this entry host may use. */
   readonly slotPolicy?: SlotPolicy;
+  /** Members to ask while the store can't tell any. */
+  readonly seeds?: readonly Member[];
 }
 
 /** Wires an entry host's actors. */
 export function createCore(options: CoreOptions): Core {
   const {self, outside, telemetry, slotPolicy = splitStatically} = options;
-  const {store, hostList, workers, peers} = outside;
+  const {hostList, workers, peers} = outside;
+  const seeds = options.seeds ?? [];
   const system = start();
   let stopping = false;
 
+  const getMembers = () => membership.members.get();
+  const getOthers = () => getMembers().filter(member => member.id !== self.id);
+  const relay = createRelay({
+    store: outside.store,
+    peers,
+    telemetry,
+    selfId: self.id,
+    getMembers,
+    seeds,
+  });
+  const {store} = relay;
   const view = createFleetView({store, hostList, telemetry});
   const configuration = createConfigurationActor({
     system,
     store,
+    peers,
+    selfId: self.id,
     telemetry,
+    getOthers,
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
   const getRevision = () => configuration.current.get()?.revision ?? 0;
-  const heartbeats = createHeartbeats({peers, membership, getRevision});
+  const heartbeats = createHeartbeats({
+    peers,
+    membership,
+    getRevision,
+    onHigherRevision: configuration.pull,
+    seeds,
+  });
   const leadership = createLeadershipActor({
     system,
     store,
@@ -77,9 +106,10 @@
     membership,
     configuration: configuration.current,
   });
+  relay.start();
   const leaders = createPoolLeaders({
     system,
-    outside,
+    outside: {...outside, store},
     telemetry,
     view,
     configuration,
@@ -91,7 +121,7 @@
     telemetry,
     configuration: configuration.current,
     getPoolHosts: view.getPoolHosts,
-    getMemberIds: () => membership.members.get().map(member => member.id),
+    getMemberIds: () => getMembers().map(member => member.id),
     memberId: self.id,
     slotPolicy,
   });
@@ -104,6 +134,7 @@
     configuration.dispose();
     requests.dispose();
     view.dispose();
+    relay.dispose();
     stop(system);
     store.dispose();
     hostList.dispose();
@@ -115,6 +146,12 @@
     configuration,
     membership,
     heartbeats,
+    relay,
+    explanations: createExplanations({
+      peers,
+      telemetry,
+      getOthers,
+    }),
     leadership,
     view,
     waves: createWaves(store, view),
@@ -125,17 +162,15 @@
     }),
     requests,
     handlers: [
-      {
-        method: heartbeatMethod,
-        handle: async () => ({
-          memberId: self.id,
-          configurationRevision: getRevision(),
-        }),
-      },
+      heartbeats.handler,
+      relay.handler,
+      ...configuration.handlers,
+      createExplainHandler(telemetry),
     ],
     isReady: () =>
       !stopping &&
       configuration.current.get() !== undefined &&
+      heartbeats.asked.get() &&
       view.hosts.get() !== undefined &&
       membership.members.get().some(member => member.id === self.id),
     async startStop() {
