Explain and check profiles with exact places; give the demo bursts in turn

Cause: findings of unknown fields pointed at the document, not the field; check said nothing of what a profile means; the demo's load never exceeded a pool.

--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,35 +1,51 @@
-import {readFileSync} from 'node:fs';
 import type {Argv} from 'yargs';
-import {readProfiles} from '../../profiles';
-import {Finding} from '../../types';
+import {createProfileJsonSchema, explainProfile} from '../../profiles';
 import {ExitCode} from '../exit_code';
 import {writeFindings} from '../findings';
+import {readProfileFiles} from '../read_profile_files';
 
-/** Adds the command that checks profile files. */
+/** Adds the commands that check profile files and show their schema. */
 export function addCheck(yargs: Argv): Argv {
-  return yargs.command(
-    'check <files..>',
-    'check profile files and report every finding',
-    command =>
-      command.positional('files', {
-        type: 'string',
-        array: true,
-        demandOption: true,
-        describe: 'YAML files with one document per profile',
-      }),
-    options => {
-      const findings: Finding[] = [];
-      let count = 0;
-      for (const file of options.files) {
-        const result = readProfiles(readFileSync(file, 'utf8'), file);
-        if (result.isErr) findings.push(...result.error);
-        else count += result.value.length;
-      }
-      if (findings.length > 0) {
-        writeFindings(findings);
-        process.exit(ExitCode.BadInput);
-      }
-      process.stdout.write(`${count} profiles hold together\n`);
-    },
-  );
+  return yargs
+    .command(
+      'check <files..>',
+      'check profile files: explain each field, or report every finding',
+      command =>
+        command
+          .positional('files', {
+            type: 'string',
+            array: true,
+            demandOption: true,
+            describe: 'YAML files with one document per profile',
+          })
+          .option('quiet', {
+            type: 'boolean',
+            default: false,
+            describe: 'do not explain the profiles',
+          })
+          .example('$0 check profiles.yaml', 'check and explain a file'),
+      options => {
+        const read = readProfileFiles(options.files);
+        if (read.isErr) {
+          writeFindings(read.error);
+          process.exit(ExitCode.BadInput);
+        }
+        for (const profile of options.quiet ? [] : read.value) {
+          process.stdout.write(`${profile.name}\n`);
+          for (const sentence of explainProfile(profile)) {
+            process.stdout.write(`  ${sentence}\n`);
+          }
+        }
+        process.stdout.write(`${read.value.length} profiles hold together\n`);
+      },
+    )
+    .command(
+      'schema',
+      'print the JSON Schema of a profile document',
+      command => command,
+      () => {
+        const schema = createProfileJsonSchema();
+        process.stdout.write(`${JSON.stringify(schema, undefined, 2)}\n`);
+      },
+    );
 }
--- a/src/cli/demo/http_call.ts
+++ b/src/cli/demo/http_call.ts
@@ -13,10 +13,12 @@
   method: 'GET' | 'POST' | 'PUT',
   url: string,
   body?: unknown,
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<HttpAnswer> {
   const response = await request(url, {
     method,
     dispatcher: agent,
+    headers,
     body: body === undefined ? undefined : JSON.stringify(body),
   });
   return {status: response.statusCode, body: await response.body.json()};
--- a/src/cli/demo/run_demo.ts
+++ b/src/cli/demo/run_demo.ts
@@ -3,9 +3,10 @@
 import {delay} from '../../state';
 import {Job, JobState, PoolRecord, SelectorKind} from '../../types';
 import {Entry} from '../../wiring';
-import {createDemoSite} from './demo_site';
+import {DemoSite, createDemoSite} from './demo_site';
 import {DemoSummary, createDemoSummary} from './demo_summary';
 import {callJson} from './http_call';
+import {sendTraffic} from './traffic';
 
 /** What the demo runs. */
 export interface DemoOptions {
@@ -16,11 +17,11 @@
   readonly progress: (line: string) => void;
 }
 
-const CALLERS = 20;
 const JOBS = 5;
 const SETTLE_MS = 5_000;
 const BUDGET_CHECK_MS = 200;
 const POLL_MS = 100;
+const PROGRESS_MS = 1_000;
 
 /** Runs the whole system in this process for some seconds. */
 export async function runDemo(options: DemoOptions): Promise<DemoSummary> {
@@ -49,7 +50,9 @@
   progress(`a wave over ${site.pools[0].name} is declared`);
 
   const budget = watchBudget(site, platformUrl, summary);
-  await sendTraffic(options, entries, summary);
+  const live = showProgress(options, demo, summary);
+  await sendTraffic({site, entries, seconds: options.seconds, summary});
+  clearInterval(live);
   clearInterval(budget);
   await settleJobs(entries, jobs, summary);
   countRuns(workers, summary);
@@ -73,29 +76,21 @@
   return jobs;
 }
 
-async function sendTraffic(
-  {site, seconds}: DemoOptions,
-  entries: readonly Entry[],
+function showProgress(
+  {progress, seconds}: DemoOptions,
+  {workers}: DemoSite,
   summary: DemoSummary,
-): Promise<void> {
-  const endsAt = performance.now() + seconds * 1_000;
-  const callers = Array.from({length: CALLERS}, async (_, i) => {
-    for (let n = i; performance.now() < endsAt; n += 1) {
-      const service = site.pools[n % site.pools.length].name;
-      const entry = entries[n % entries.length];
-      const url = callerUrl(entry, `/services/${service}/demo`);
-      const answer = await callJson('POST', url, {n});
-      if (answer.status === 200) summary.answered += 1;
-      else countRefusal(summary, answer.body);
-    }
-  });
-  await Promise.all(callers);
-}
-
-function countRefusal(summary: DemoSummary, body: unknown): void {
-  const {reason = 'unknown'} = body as {reason?: string};
-  const known = summary.refusedByReason[reason] ?? 0;
-  summary.refusedByReason[reason] = known + 1;
+): NodeJS.Timeout {
+  let second = 0;
+  return setInterval(() => {
+    second += 1;
+    const refused = Object.values(summary.refusedByReason);
+    const sum = refused.reduce((total, count) => total + count, 0);
+    const maintained = countMaintained(workers);
+    progress(
+      `${second}/${seconds} s: ${summary.answered} answered, ${sum} refused, ${maintained} hosts maintained`,
+    );
+  }, PROGRESS_MS);
 }
 
 function watchBudget(
@@ -142,16 +137,21 @@
   workers: readonly WorkerServer[],
   summary: DemoSummary,
 ): void {
+  summary.hostsMaintained = countMaintained(workers);
   const runs = new Map<string, number>();
   for (const {model} of workers) {
-    if (model.report().bootNumber > 1) summary.hostsMaintained += 1;
-    for (const run of model.runs) {
-      runs.set(run.id, (runs.get(run.id) ?? 0) + 1);
+    for (const {idempotencyKey} of model.runs) {
+      if (idempotencyKey === undefined) continue;
+      runs.set(idempotencyKey, (runs.get(idempotencyKey) ?? 0) + 1);
     }
   }
   summary.doubled = [...runs.values()].filter(count => count > 1).length;
 }
 
+function countMaintained(workers: readonly WorkerServer[]): number {
+  return workers.filter(({model}) => model.report().bootNumber > 1).length;
+}
+
 async function waitUntil(isDone: () => boolean): Promise<void> {
   while (!isDone()) await delay(POLL_MS);
 }
--- a/src/profiles/index.ts
+++ b/src/profiles/index.ts
@@ -1,3 +1,5 @@
 /** Operators' profiles as YAML documents. */
+export * from './profile_json_schema';
 export * from './profile_schema';
+export * from './profile_sentences';
 export * from './read_profiles';
--- a/src/profiles/profile_schema.ts
+++ b/src/profiles/profile_schema.ts
@@ -12,7 +12,7 @@
 /** Schema of one profile document, before durations are read. */
 export const profileSchema = z.strictObject({
   name,
-  pool: name.describe('Pool that serves the profile; the name by default.'),
+  pool: name.describe('Pool that serves the profile.'),
   services: z.array(name).min(1),
   hosts: z.int().min(1).describe('Hosts that the services may count on.'),
   maxUnavailable: z
--- a/src/profiles/read_profiles.ts
+++ b/src/profiles/read_profiles.ts
@@ -1,8 +1,10 @@
 import {Result} from 'true-myth';
-import {Document, LineCounter, isNode, parseAllDocuments} from 'yaml';
+import {Document, LineCounter, parseAllDocuments} from 'yaml';
+import {z} from 'zod';
 import {checkProfileSet} from '../decisions/configuration';
 import {Finding, Profile} from '../types';
 import {profileSchema, toProfile} from './profile_schema';
+import {YamlPlaces, createYamlPlaces} from './yaml_places';
 
 /**
  * Reads profiles from a YAML text with one document per profile.
@@ -16,60 +18,71 @@
   source: string,
 ): Result<readonly Profile[], readonly Finding[]> {
   const lines = new LineCounter();
-  const documents = parseAllDocuments(text, {lineCounter: lines});
-  const place = createPlace(source, lines);
-  if (!Array.isArray(documents) || documents.length === 0) {
+  const parsed = parseAllDocuments(text, {lineCounter: lines});
+  const documents = Array.isArray(parsed) ? parsed : [];
+  const places = createYamlPlaces(source, lines);
+  if (documents.length === 0) {
     return Result.err([{place: source, message: 'holds no profile'}]);
   }
   const findings: Finding[] = [];
   const profiles: Profile[] = [];
   for (const document of documents) {
-    for (const error of document.errors) {
-      findings.push({place: place(error.pos[0]), message: error.message});
-    }
-    const checked = profileSchema.safeParse(document.toJS());
-    if (checked.success) profiles.push(toProfile(checked.data));
-    else {
-      for (const issue of checked.error.issues) {
-        const offset = offsetOf(document, issue.path);
-        const field = issue.path.map(String).join('.');
-        const message = field ? `${field}: ${issue.message}` : issue.message;
-        findings.push({place: place(offset), message});
-      }
-    }
+    const read = readDocument(document, places);
+    if (read.isOk) profiles.push(read.value);
+    else findings.push(...read.error);
   }
-  if (findings.length > 0) return Result.err(findings);
-  const setFindings = checkProfileSet(profiles).map(finding => ({
-    place: place(offsetOfFinding(documents, finding)),
-    message: `${finding.place}: ${finding.message}`,
-  }));
-  return setFindings.length > 0 ? Result.err(setFindings) : Result.ok(profiles);
+  if (findings.length === 0)
+    findings.push(...checkSet(profiles, documents, places));
+  return findings.length > 0 ? Result.err(findings) : Result.ok(profiles);
 }
 
-function createPlace(
-  source: string,
-  lines: LineCounter,
-): (offset: number) => string {
-  return offset => {
-    const {line, col} = lines.linePos(offset);
-    return `${source}:${line}:${col}`;
-  };
+function readDocument(
+  document: Document,
+  places: YamlPlaces,
+): Result<Profile, readonly Finding[]> {
+  if (document.errors.length > 0) {
+    return Result.err(
+      document.errors.map(({pos, message}) => ({
+        place: places.atOffset(pos[0]),
+        message: message.replace(/ at line \d+, column \d+:[^]*$/, ''),
+      })),
+    );
+  }
+  const checked = profileSchema.safeParse(document.toJS());
+  if (checked.success) return Result.ok(toProfile(checked.data));
+  return Result.err(
+    checked.error.issues.flatMap(issue => findIssue(issue, document, places)),
+  );
 }
 
-function offsetOf(document: Document, path: readonly PropertyKey[]): number {
-  for (let length = path.length; length >= 0; length -= 1) {
-    const node = document.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) return node.range[0];
+function findIssue(
+  issue: z.core.$ZodIssue,
+  document: Document,
+  places: YamlPlaces,
+): readonly Finding[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      place: places.atKey(document, issue.path, key),
+      message: `${key}: is no field of a profile`,
+    }));
   }
-  return document.range?.[0] ?? 0;
+  const field = issue.path.map(String).join('.');
+  const message = field ? `${field}: ${issue.message}` : issue.message;
+  return [{place: places.atPath(document, issue.path), message}];
 }
 
-function offsetOfFinding(
+function checkSet(
+  profiles: readonly Profile[],
   documents: readonly Document[],
-  {place}: Finding,
-): number {
-  const match = /^profiles\[(\d+)\]\.?(\w*)/.exec(place);
-  if (!match) return 0;
-  const document = documents[Number(match[1])];
-  return offsetOf(document, match[2] ? [match[2]] : []);
+  places: YamlPlaces,
+): readonly Finding[] {
+  return checkProfileSet(profiles).map(({place, message}) => {
+    const match = /^profiles\[(\d+)\]\.?(\w*)/.exec(place);
+    const document = documents[Number(match?.[1] ?? 0)];
+    const path = match?.[2] ? [match[2]] : [];
+    return {
+      place: places.atPath(document, path),
+      message: `${place}: ${message}`,
+    };
+  });
 }
