--- /dev/null
+++ b/bench/benches.ts
@@ -0,0 +1,9 @@
+import {runPathBench} from './path';
+import {runScaleBench} from './scale';
+import {Bench} from './shared';
+
+/** Every bench by its name. */
+export const BENCHES: Readonly<Record<string, Bench>> = {
+  path: runPathBench,
+  scale: runScaleBench,
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,13 +1,5 @@
 import {parseArgs} from 'node:util';
-import {runPathBench} from './path';
-import {runScaleBench} from './scale';
-import {Bench} from './shared';
-
-/** Every bench by its name. */
-const BENCHES: Readonly<Record<string, Bench>> = {
-  path: runPathBench,
-  scale: runScaleBench,
-};
+import {BENCHES} from './benches';
 
 const DEFAULT_SEED = 1;
 
--- /dev/null
+++ b/bench/report/main.ts
@@ -0,0 +1,44 @@
+import {execFileSync} from 'node:child_process';
+import {writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+import {BENCHES} from '../benches';
+import {BenchReport} from '../shared';
+import {createHtml, createMarkdown} from './pages';
+import {Round, RoundFailure, readLastRound, writeRound} from './round';
+
+const SEED = 1;
+
+const {values} = parseArgs({
+  options: {quick: {type: 'boolean', default: false}},
+});
+const progress = (line: string) => process.stderr.write(`${line}\n`);
+const reports: BenchReport[] = [];
+const failures: RoundFailure[] = [];
+
+for (const [name, bench] of Object.entries(BENCHES)) {
+  progress(`bench ${name}`);
+  try {
+    reports.push(await bench({seed: SEED, quick: values.quick, progress}));
+  } catch (error) {
+    failures.push({bench: name, message: (error as Error).message});
+  }
+}
+
+const before = readLastRound();
+const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString();
+const round: Round = {
+  number: (before?.number ?? 0) + 1,
+  commit: commit.trim(),
+  quick: values.quick,
+  reports,
+  failures,
+};
+writeRound(round);
+writeFileSync('reports/latest.md', createMarkdown(round, before));
+writeFileSync('reports/latest.html', createHtml(round, before));
+const measures = reports.flatMap(report => report.measures);
+const held = measures.filter(measure => measure.holds).length;
+process.stdout.write(
+  `round ${round.number}: ${held} of ${measures.length} targets hold, ${failures.length} benches did not run to the end\n`,
+);
+process.exit(0);
--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,12 +1,14 @@
 import {Bench} from '../shared';
-import {ScaleProbe, fitLine} from './slope';
+import {FittedSlope, ScaleProbe, fitLine} from './slope';
+
+export * from './slope';
 
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {};
 
 /** Measures how each role's costs grow, and fits a line to each. */
 export const runScaleBench: Bench = async ({seed, quick, progress}) => {
-  const slopes = [];
+  const slopes: FittedSlope[] = [];
   for (const [area, probe] of Object.entries(PROBES)) {
     progress(`slopes of ${area}`);
     for (const slope of await probe(quick)) {
--- a/bench/scale/slope.ts
+++ b/bench/scale/slope.ts
@@ -17,6 +17,12 @@
   readonly residual: number;
 }
 
+/** A slope with its fitted line and the area that it belongs to. */
+export interface FittedSlope extends Slope {
+  readonly area: string;
+  readonly fit: Fit;
+}
+
 /** Measures the slopes of one area. */
 export type ScaleProbe = (quick: boolean) => Promise<readonly Slope[]>;
 
--- a/bench/shared/index.ts
+++ b/bench/shared/index.ts
@@ -3,3 +3,4 @@
 export * from './child';
 export * from './measure';
 export * from './process_site';
+export * from './series';
