Show revisions, differences, members and explanations to operators from any entry

Cause: profile diff, history and the spread of a revision could not be seen; a conflict did not say what separates the two changes; explain read one member.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,12 +1,15 @@
 import type {Argv} from 'yargs';
-import {Decision, PoolHost} from '../../types';
-import {writeRows} from '../output';
+import {Decision, MemberSight, PoolHost} from '../../types';
+import {Output, writeRows} from '../output';
 import {clientOf, operatorOptions} from './shared_options';
 
 interface Status {
+  readonly members: readonly MemberSight[];
   readonly pools: readonly {
     readonly pool: string;
     readonly leader?: string;
+    /** Wall-clock time in ms since the epoch. */
+    readonly leaderSince?: number;
     readonly term?: number;
     readonly hosts: number;
     readonly unavailable: readonly unknown[];
@@ -14,6 +17,11 @@
   }[];
 }
 
+interface Explanation {
+  readonly decisions: readonly Decision[];
+  readonly silentMembers: readonly string[];
+}
+
 /** Adds the commands that show and explain the state of the system. */
 export function addStatus(yargs: Argv): Argv {
   return yargs
@@ -26,9 +34,13 @@
         const status = await client.call<Status>('GET', '/v1/status');
         const rows = status.pools.map(pool => ({
           ...pool,
+          leaderSince: formatTime(pool.leaderSince),
           unavailable: pool.unavailable.length,
         }));
         writeRows(options.output, rows, status);
+        if (options.output === Output.Json) return;
+        process.stdout.write('\n');
+        writeRows(options.output, status.members.map(describeMember));
       },
     )
     .command('host', 'show hosts', command =>
@@ -61,17 +73,35 @@
           .options(operatorOptions)
           .positional('id', {type: 'string', demandOption: true}),
       async options => {
-        const decisions = await clientOf(options).call<Decision[]>(
+        const explanation = await clientOf(options).call<Explanation>(
           'GET',
           `/v1/explain/${encodeURIComponent(options.id)}`,
         );
+        const {decisions, silentMembers} = explanation;
         const rows = decisions.map(decision => ({
           at: new Date(decision.at).toISOString(),
           member: decision.memberId,
           decision: decision.kind,
           cause: decision.cause,
         }));
-        writeRows(options.output, rows, decisions);
+        writeRows(options.output, rows, explanation);
+        if (silentMembers.length === 0) return;
+        const missing = silentMembers.join(', ');
+        process.stderr.write(`no answer from ${missing}\n`);
       },
     );
 }
+
+function describeMember(sight: MemberSight) {
+  return {
+    member: sight.memberId,
+    zone: sight.availabilityZone,
+    verdict: sight.verdict,
+    revision: sight.revision,
+    cause: sight.cause,
+  };
+}
+
+function formatTime(at: number | undefined): string {
+  return at === undefined ? '' : new Date(at).toISOString();
+}
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -64,6 +64,9 @@
   const detail = problem.detail ? `: ${problem.detail}` : '';
   process.stderr.write(`refused: ${problem.reason}${detail}${revision}\n`);
   writeFindings(problem.findings ?? []);
+  for (const {place, before, after} of problem.differences ?? []) {
+    process.stderr.write(`${place}: in force ${before}, asked ${after}\n`);
+  }
   process.exit(exitCodeOf(problem));
 }
 
--- a/src/http/operators/profile_routes.ts
+++ b/src/http/operators/profile_routes.ts
@@ -1,6 +1,13 @@
 import {z} from 'zod';
 import {ConfigurationActor} from '../../actors/configuration';
-import {Outcome, Rank, RefusalReason} from '../../types';
+import {Heartbeats} from '../../actors/membership';
+import {
+  ConfigurationSpread,
+  MemberVerdict,
+  Outcome,
+  Rank,
+  RefusalReason,
+} from '../../types';
 import {readJson, sendJson, sendProblem} from '../shared';
 import {Route} from './route';
 
@@ -30,10 +37,17 @@
   profiles: z.array(profileBody),
 });
 
+/** What the profile routes read. */
+export interface ProfileRoutesOptions {
+  readonly configuration: ConfigurationActor;
+  readonly heartbeats: Heartbeats;
+}
+
 /** Routes that read and change the configuration. */
 export function createProfileRoutes(
-  configuration: ConfigurationActor,
+  options: ProfileRoutesOptions,
 ): readonly Route[] {
+  const {configuration} = options;
   return [
     {
       method: 'GET',
@@ -42,6 +56,33 @@
         sendJson(response, 200, configuration.current.get() ?? null);
       },
     },
+    {
+      method: 'GET',
+      path: '/v1/configuration/history',
+      async answer(_, response) {
+        sendJson(response, 200, configuration.listAcceptances());
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/configuration/history/:id',
+      async answer(_, response, id) {
+        const found = await configuration.readRevision(Number(id));
+        if (found) return sendJson(response, 200, found);
+        sendProblem(response, {
+          reason: RefusalReason.NotFound,
+          outcome: Outcome.NotRun,
+          detail: `revision ${id} is not kept, or the store is away`,
+        });
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/configuration/spread',
+      async answer(_, response) {
+        sendJson(response, 200, readSpread(options));
+      },
+    },
     {
       method: 'PUT',
       path: '/v1/configuration',
@@ -60,7 +101,7 @@
         }
         const result = await configuration.apply(checked.data);
         if (result.isOk) return sendJson(response, 200, result.value);
-        const {reason, findings, current} = result.error;
+        const {reason, findings, current, differences} = result.error;
         sendProblem(response, {
           reason,
           outcome:
@@ -69,8 +110,20 @@
               : Outcome.NotRun,
           findings,
           currentRevision: current?.revision,
+          differences,
         });
       },
     },
   ];
 }
+
+function readSpread({
+  configuration,
+  heartbeats,
+}: ProfileRoutesOptions): ConfigurationSpread {
+  const members = heartbeats
+    .getSights()
+    .filter(({verdict}) => verdict !== MemberVerdict.Gone)
+    .map(({memberId, revision, verdict}) => ({memberId, revision, verdict}));
+  return {revision: configuration.current.get()?.revision ?? 0, members};
+}
--- a/src/http/operators/status_routes.ts
+++ b/src/http/operators/status_routes.ts
@@ -1,6 +1,12 @@
 import {ConfigurationActor} from '../../actors/configuration';
 import {FleetView} from '../../actors/fleet';
-import {LeadershipActor, MembershipActor} from '../../actors/membership';
+import {
+  Explanations,
+  Heartbeats,
+  LeadershipActor,
+  MembershipActor,
+  Relay,
+} from '../../actors/membership';
 import {Telemetry} from '../../telemetry';
 import {sendJson} from '../shared';
 import {Route} from './route';
@@ -10,6 +16,9 @@
   readonly configuration: ConfigurationActor;
   readonly membership: MembershipActor;
   readonly leadership: LeadershipActor;
+  readonly heartbeats: Heartbeats;
+  readonly relay: Relay;
+  readonly explanations: Explanations;
   readonly view: FleetView;
   readonly telemetry: Telemetry;
   readonly isReady: () => boolean;
@@ -57,10 +66,12 @@
         sendJson(response, 200, {
           memberId: membership.self.id,
           revision: configuration.current.get()?.revision ?? 0,
-          members: membership.members.get(),
+          members: options.heartbeats.getSights(),
+          store: readStore(options),
           pools: profiles.map(profile => ({
             pool: profile.pool,
             leader: leaders.get(profile.pool)?.memberId,
+            leaderSince: leaders.get(profile.pool)?.since,
             term: view.records.entries.get().get(`pools/${profile.pool}`)?.value
               .term,
             hosts: view.getPoolHosts(profile.pool).length,
@@ -87,8 +98,18 @@
       method: 'GET',
       path: '/v1/explain/:id',
       async answer(_, response, id) {
-        sendJson(response, 200, telemetry.decisions.find(id));
+        sendJson(response, 200, await options.explanations.explain(id));
       },
     },
   ];
 }
+
+/** How this member reaches the store, and how old its copy is. */
+function readStore({membership, relay}: StatusOptions) {
+  return {
+    leaseHeld: membership.getLease() !== undefined,
+    connected: relay.isConnected(),
+    ageMs: Math.round(relay.getAgeMs()),
+    fedBy: relay.getSource() ?? 'store',
+  };
+}
--- a/src/http/shared/problem.ts
+++ b/src/http/shared/problem.ts
@@ -1,5 +1,5 @@
 import {ServerResponse} from 'node:http';
-import {Finding, Outcome, RefusalReason} from '../../types';
+import {FieldDifference, Finding, Outcome, RefusalReason} from '../../types';
 
 /** Body of an answer that refuses, as application/problem+json. */
 export interface Problem {
@@ -15,6 +15,8 @@
   readonly retryAfterMs?: number;
   /** The revision in force, for a conflict. */
   readonly currentRevision?: number;
+  /** What separates the asked profiles from those in force, for a conflict. */
+  readonly differences?: readonly FieldDifference[];
 }
 
 const STATUS: Readonly<Record<RefusalReason, number>> = {
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -34,6 +34,10 @@
   .string()
   .refine(isBaseUrl, 'must be an http or https URL without a path');
 
+const peerAddress = z
+  .string()
+  .regex(/^.+:[0-9]{1,5}$/, 'must be an IP address and port, as 10.0.0.1:8082');
+
 /** Every setting of an entry host, in the order of the help text. */
 export const SETTINGS: readonly Setting[] = [
   {
@@ -92,6 +96,14 @@
     schema: baseUrl,
     defaultValue: 'http://127.0.0.1:9000',
   },
+  {
+    key: 'seeds',
+    flag: 'seed',
+    describe:
+      "IP address and peer port of a member to ask while the store can't tell any; may be repeated",
+    schema: z.array(peerAddress).optional(),
+    repeatable: true,
+  },
   {
     key: 'operatorToken',
     flag: 'operator-token',
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -12,6 +12,8 @@
   /** Base URLs of the platform's key-value service. */
   readonly storeUrls: readonly string[];
   readonly hostListUrl: string;
+  /** IP addresses and peer ports of members to ask while the store can't tell any. */
+  readonly seeds?: readonly string[];
   /** Token that operators' calls carry; undefined leaves them open. */
   readonly operatorToken?: string;
   readonly logLevel: LogLevel;
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,6 +1,7 @@
 /** Data that the whole program shares. */
 export * from './acceptance';
 export * from './configuration';
+export * from './configuration_spread';
 export * from './decision';
 export * from './decision_kind';
 export * from './field_difference';
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -56,13 +56,18 @@
     startedAt: Date.now(),
     leaving: false,
   };
-  const core = createCore({self: member, outside, telemetry});
+  const core = createCore({
+    self: member,
+    outside,
+    telemetry,
+    seeds: (settings.seeds ?? []).map(readSeed),
+  });
   peerServer.serve(core.handlers);
   callers.serve(createCallersHandle({...core, telemetry}));
   operators.serve(
     createOperatorsHandle(
       [
-        ...createProfileRoutes(core.configuration),
+        ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
         ...createStatusRoutes({...core, telemetry}),
       ],
@@ -87,3 +92,18 @@
     stop: () => (stopped ??= stop()),
   };
 }
+
+/** Returns a member of which only the address is known. */
+function readSeed(text: string): Member {
+  const colon = text.lastIndexOf(':');
+  return {
+    id: `seed-${text}`,
+    availabilityZone: '',
+    address: text.slice(0, colon),
+    callerPort: 0,
+    operatorPort: 0,
+    peerPort: Number(text.slice(colon + 1)),
+    startedAt: 0,
+    leaving: false,
+  };
+}
