--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -10,7 +10,8 @@
 let installed: ReturnType<typeof FakeTimers.install> | undefined;
 const systemRandom = Math.random;
 
-Before(() => {
+/** Scenarios over real sockets keep the real clock and wait for events only. */
+Before({tags: 'not @real-clock'}, () => {
   installed = FakeTimers.install({
     now: START_AT,
     toFake: [
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -54,10 +54,11 @@
   );
   execFileSync('rm', [`${TARGET}/.${base}.commented.js`]);
   // Node's ES modules need the default import of this CommonJS package, with its extension.
+  // Without Long, 64-bit fields decode to numbers, as their types say.
   const output = `${TARGET}/${base}.js`;
   const text = readFileSync(output, 'utf8').replace(
     'import * as $protobuf from "protobufjs/minimal"',
-    'import $protobuf from "protobufjs/minimal.js"',
+    'import $protobuf from "protobufjs/minimal.js";\n$protobuf.util.Long = undefined;\n$protobuf.configure()',
   );
   writeFileSync(output, text);
 }
--- a/scripts/proof.mjs
+++ b/scripts/proof.mjs
@@ -74,6 +74,7 @@
     ...Object.keys(PROMISES),
     ...Object.keys(FAILURES),
     '@known-red',
+    '@real-clock',
   ]);
   const unknown = scenarios.flatMap(({file, name, tags}) =>
     tags
--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -1,7 +1,9 @@
 import type {Argv, Options} from 'yargs';
+import {TlsIdentity, createTlsIdentity} from '../../security';
 import {
   SETTINGS,
   SettingInputs,
+  Settings,
   findSettings,
   readSettings,
 } from '../../settings';
@@ -47,7 +49,8 @@
       }
       if (options.printSettings) process.exit(ExitCode.Done);
       writeLog(read.value.logFormat);
-      const entry = await createEntry(read.value);
+      const identity = readIdentity(read.value);
+      const entry = await createEntry(read.value, identity);
       const {address, callerPort, operatorPort, peerPort} = entry.member;
       entry.telemetry.log.info('listening', {
         address,
@@ -56,13 +59,28 @@
         peerPort,
       });
       const stop = () =>
-        void entry.stop().then(() => process.exit(ExitCode.Done));
+        void entry.stop().then(() => {
+          identity?.dispose();
+          process.exit(ExitCode.Done);
+        });
       process.once('SIGTERM', stop);
       process.once('SIGINT', stop);
     },
   );
 }
 
+function readIdentity(settings: Settings): TlsIdentity | undefined {
+  const {tlsCertificate, tlsKey, tlsAuthorities} = settings;
+  if (!tlsCertificate || !tlsKey || !tlsAuthorities) return undefined;
+  const created = createTlsIdentity(
+    {certificate: tlsCertificate, key: tlsKey, authorities: tlsAuthorities},
+    writeFindings,
+  );
+  if (created.isOk) return created.value;
+  writeFindings(created.error);
+  process.exit(ExitCode.BadInput);
+}
+
 function settingOptions(): Record<string, Options> {
   return Object.fromEntries(
     SETTINGS.map(({flag, describe, defaultValue, repeatable}) => [
--- a/src/http/operators/operators_handle.ts
+++ b/src/http/operators/operators_handle.ts
@@ -1,5 +1,6 @@
-import {timingSafeEqual} from 'node:crypto';
+import {createHash, timingSafeEqual} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
+import type {TLSSocket} from 'node:tls';
 import {Outcome, RefusalReason} from '../../types';
 import {Handle, sendProblem} from '../shared';
 import {Route} from './route';
@@ -48,14 +49,19 @@
   return id;
 }
 
+/** A call is authorized by the token or by a client certificate of a trusted authority. */
 function isAuthorized(
   request: IncomingMessage,
   token: string | undefined,
 ): boolean {
+  if ((request.socket as Partial<TLSSocket>).authorized) return true;
   if (token === undefined) return true;
-  const wanted = Buffer.from(`Bearer ${token}`);
-  const given = Buffer.from(request.headers.authorization ?? '');
-  return wanted.length === given.length && timingSafeEqual(wanted, given);
+  const wanted = digest(`Bearer ${token}`);
+  return timingSafeEqual(wanted, digest(request.headers.authorization ?? ''));
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
 }
 
 function refuse(
--- a/src/http/shared/listener.ts
+++ b/src/http/shared/listener.ts
@@ -1,5 +1,13 @@
-import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {
+  IncomingMessage,
+  Server,
+  ServerOptions,
+  ServerResponse,
+  createServer,
+} from 'node:http';
+import {Server as TlsServer, createServer as createTlsServer} from 'node:https';
 import {AddressInfo} from 'node:net';
+import {TlsIdentity, TlsMaterial} from '../../security';
 import {Outcome, RefusalReason} from '../../types';
 import {BodyError} from './body';
 import {sendProblem} from './problem';
@@ -30,26 +38,29 @@
  *
  * @param address IP address to listen on
  * @param port TCP port; 0 picks a free one
+ * @param identity TLS material; plain HTTP without one
  */
 export async function createListener(
   address: string,
   port: number,
+  identity?: TlsIdentity,
 ): Promise<Listener> {
   let handle: Handle = refuseEarly;
-  const server = createServer(
-    {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      requireHostHeader: true,
-    },
-    (request, response) => {
-      handle(request, response).catch((error: Error) =>
-        sendError(response, error),
-      );
-    },
-  );
+  const limits = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    requireHostHeader: true,
+  };
+  const server = identity
+    ? createReloadingServer(identity, limits)
+    : createServer(limits);
+  server.on('request', (request, response) => {
+    handle(request, response).catch((error: Error) =>
+      sendError(response, error),
+    );
+  });
   server.maxConnections = MAX_CONNECTIONS;
   await listen(server, address, port);
 
@@ -66,7 +77,34 @@
   };
 }
 
-function listen(server: Server, address: string, port: number): Promise<void> {
+function createReloadingServer(
+  {material}: TlsIdentity,
+  limits: ServerOptions,
+): TlsServer {
+  const options = {...limits, ...toTlsOptions(material.get())};
+  const server = createTlsServer({...options, requestCert: true});
+  const stopFollowing = material.onChange(value =>
+    server.setSecureContext(toTlsOptions(value)),
+  );
+  server.on('close', stopFollowing);
+  return server;
+}
+
+/** Client certificates are asked for, not demanded: routes decide what needs one. */
+function toTlsOptions({certificate, key, authorities}: TlsMaterial) {
+  return {
+    cert: certificate,
+    key,
+    ca: authorities,
+    rejectUnauthorized: false,
+  };
+}
+
+function listen(
+  server: Server | TlsServer,
+  address: string,
+  port: number,
+): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, address, resolve);
--- /dev/null
+++ b/src/security/index.ts
@@ -0,0 +1,5 @@
+/** TLS certificates and keys, reloaded without a restart. */
+export * from './read_tls_material';
+export * from './tls_identity';
+export * from './tls_material';
+export * from './tls_source';
--- a/src/settings/read_settings.ts
+++ b/src/settings/read_settings.ts
@@ -48,6 +48,7 @@
   }
   const settings = values as unknown as Settings;
   findings.push(...findSharedPorts(settings, inputs));
+  findings.push(...findMissingTls(settings));
   if (findings.length > 0) return Result.err(findings);
   const memberId = settings.memberId ?? `entry-${settings.address}`;
   return Result.ok({...settings, memberId});
@@ -111,3 +112,18 @@
   }
   return findings;
 }
+
+function findMissingTls(settings: Settings): readonly Finding[] {
+  const {tlsCertificate, tlsKey, tlsAuthorities} = settings;
+  const parts = [
+    {flag: 'tls-certificate', value: tlsCertificate},
+    {flag: 'tls-key', value: tlsKey},
+    {flag: 'tls-authorities', value: tlsAuthorities},
+  ];
+  const missing = parts.filter(({value}) => value === undefined);
+  if (missing.length === parts.length) return [];
+  return missing.map(({flag}) => ({
+    place: `--${flag}`,
+    message: 'is needed beside the other tls settings',
+  }));
+}
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -99,6 +99,26 @@
     schema: z.string().min(8, 'must have at least 8 characters').optional(),
     secret: true,
   },
+  {
+    key: 'tlsCertificate',
+    flag: 'tls-certificate',
+    describe: 'certificate of all ports: path of a PEM file, or its text',
+    schema: z.string().min(1).optional(),
+  },
+  {
+    key: 'tlsKey',
+    flag: 'tls-key',
+    describe: 'private key of the certificate: path of a PEM file, or its text',
+    schema: z.string().min(1).optional(),
+    secret: true,
+  },
+  {
+    key: 'tlsAuthorities',
+    flag: 'tls-authorities',
+    describe:
+      "authorities of members' and operators' certificates: path of a PEM file, or its text",
+    schema: z.string().min(1).optional(),
+  },
   {
     key: 'logLevel',
     flag: 'log-level',
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -14,6 +14,12 @@
   readonly hostListUrl: string;
   /** Token that operators' calls carry; undefined leaves them open. */
   readonly operatorToken?: string;
+  /** Certificate of this entry host: a file's path or PEM text. */
+  readonly tlsCertificate?: string;
+  /** Private key of the certificate: a file's path or PEM text. */
+  readonly tlsKey?: string;
+  /** Authorities of members and operators: a file's path or PEM text. */
+  readonly tlsAuthorities?: string;
   readonly logLevel: LogLevel;
   readonly logFormat: LogFormat;
   /** Time limit of a call to the key-value service, in ms. */
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,4 +1,4 @@
-import {createGrpcPeerServer} from '../adapters/peer';
+import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
   createOperatorsHandle,
@@ -7,12 +7,13 @@
   createWaveRoutes,
 } from '../http/operators';
 import {createListener} from '../http/shared';
+import {TlsIdentity} from '../security';
 import {Settings} from '../settings';
 import {delay} from '../state';
 import {Telemetry, createTelemetry} from '../telemetry';
 import {Member} from '../types';
 import {createCore} from './core';
-import {Outside, createOutside} from './outside';
+import {createOutside} from './outside';
 
 /** A running entry host. */
 export interface Entry {
@@ -34,17 +35,27 @@
  * them; calls that come earlier are refused.
  *
  * @param settings checked settings
- * @param outside the outside; the settings' adapters by default
+ * @param identity TLS material of all ports; plain ports without one
  */
 export async function createEntry(
   settings: Settings,
-  outside: Outside = createOutside(settings),
+  identity?: TlsIdentity,
 ): Promise<Entry> {
   const {address, memberId} = settings;
   const telemetry = createTelemetry(memberId, settings.logLevel);
-  const callers = await createListener(address, settings.callerPort);
-  const operators = await createListener(address, settings.operatorPort);
-  const peerServer = await createGrpcPeerServer(address, settings.peerPort);
+  const credentials = identity && createGrpcCredentials(identity);
+  const outside = createOutside(settings, credentials);
+  const callers = await createListener(address, settings.callerPort, identity);
+  const operators = await createListener(
+    address,
+    settings.operatorPort,
+    identity,
+  );
+  const peerServer = await createGrpcPeerServer(
+    address,
+    settings.peerPort,
+    credentials?.server,
+  );
 
   const member: Member = {
     id: memberId,
--- a/src/wiring/outside.ts
+++ b/src/wiring/outside.ts
@@ -1,5 +1,5 @@
 import {createHttpHostList} from '../adapters/host_list';
-import {createGrpcPeers} from '../adapters/peer';
+import {GrpcCredentials, createGrpcPeers} from '../adapters/peer';
 import {createHttpStore} from '../adapters/store';
 import {createHttpWorkers} from '../adapters/worker';
 import {HostList, Peers, Store, Workers} from '../ports';
@@ -13,8 +13,16 @@
   readonly peers: Peers;
 }
 
-/** Creates the adapters that the settings name. */
-export function createOutside(settings: Settings): Outside {
+/**
+ * Creates the adapters that the settings name.
+ *
+ * @param settings checked settings
+ * @param credentials mutual TLS with other members; plain without them
+ */
+export function createOutside(
+  settings: Settings,
+  credentials?: GrpcCredentials,
+): Outside {
   return {
     store: createHttpStore({
       urls: settings.storeUrls,
@@ -29,6 +37,6 @@
       controlTimeoutMs: settings.workerTimeoutMs,
       connectTimeoutMs: settings.workerTimeoutMs,
     }),
-    peers: createGrpcPeers(),
+    peers: createGrpcPeers(credentials?.channel),
   };
 }
