Give each ask of an actor a reply address of its own

Cause: nact's query draws reply addresses as Math.random() * 2^53 | 0, which is 32 bits. Two open asks with the same address exchange or lose replies: a caller could get another request's answer. Seen in the claims feature, where the seeded random source has 31 bits and only 1,024 addresses remain: 400 requests in turn failed with an undefined answer.

Ruled out: a wider random source in tests only, as it hides the fault that production has too, if rarely; reusing reply actors, as a late second reply would reach the next ask.

Change: ask spawns a named reply actor per call and stops it after its reply.

Conclusion: taken, since a mixed-up answer breaks a promise.

--- a/src/actors/shared/create_actor.ts
+++ b/src/actors/shared/create_actor.ts
@@ -1,4 +1,4 @@
-import {ActorSystemRef, Ref, dispatch, query, spawn, stop} from 'nact';
+import {ActorSystemRef, Ref, dispatch, spawn, stop} from 'nact';
 import {Log} from '../../telemetry';
 
 /** An actor that handles its messages one at a time. */
@@ -34,6 +34,7 @@
 ): Actor<Message> {
   const {system, name, log} = options;
   let disposed = false;
+  let asked = 0;
 
   async function handle(state: State, message: Message): Promise<State> {
     if (disposed) return state;
@@ -50,12 +51,40 @@
 
   const ref = spawn(system, handle, name, {initialState: options.initial});
 
+  /**
+   * Asks with a reply address of its own.
+   *
+   * The library's query draws its reply addresses from 32 random bits, so two
+   * open ones can be the same and one caller gets the other's reply.
+   */
+  function ask<Reply>(create: (reply: Ref<Reply>) => Message): Promise<Reply> {
+    if (disposed) return Promise.reject(new Error(`actor ${name} has stopped`));
+    asked += 1;
+    return new Promise((resolve, reject) => {
+      const receive = (_: undefined, reply: Reply) => {
+        finish();
+        resolve(reply);
+        return undefined;
+      };
+      const replyName = `${name}-reply-${asked}`;
+      const replyTo = spawn(system, receive, replyName, {});
+      const finish = () => {
+        clearTimeout(timer);
+        stop(replyTo);
+      };
+      const timer = setTimeout(() => {
+        finish();
+        reject(new Error(`actor ${name} gave no reply`));
+      }, ASK_TIMEOUT_MS);
+      dispatch(ref, create(replyTo as Ref<Reply>));
+    });
+  }
+
   return {
     tell(message) {
       if (!disposed) dispatch(ref, message);
     },
-    ask: create =>
-      query(ref as Ref<unknown>, create as never, ASK_TIMEOUT_MS) as never,
+    ask,
     dispose() {
       if (disposed) return;
       disposed = true;
