Claim idempotency keys before non-idempotent requests run

Cause: a repeated booking confirmation ran again through another entry host.

Change: eight partitions of keys; the preferred member by rendezvous hashing commits claims in groups, one compare-and-swap of the partition's last generation each, fenced by its version. Any member may act itself when the owner gives no answer, since only the version decides. Lost answers are resolved by swapping the same value again. Certain not-run gives the claim back; repeats get the recorded answer, or are told that it is unknown.

Ruled out: a lease per owner (the version already fences a paused owner); releasing an expired claim at the owner (the asker may have been granted it by another member meanwhile).

--- a/features/support/memory_site.ts
+++ b/features/support/memory_site.ts
@@ -47,6 +47,8 @@
   readonly entries: readonly MemoryEntry[];
   /** The host list; change it to make hosts leave or vanish. */
   readonly hosts: Map<string, Host>;
+  /** Counts the writes that changed keys under a prefix so far. */
+  countWrites(prefix: string): number;
   /** Starts one more entry host. */
   addEntry(memberId: string): MemoryEntry;
   dispose(): void;
@@ -148,6 +150,7 @@
     workers,
     entries,
     hosts,
+    countWrites: prefix => keyValue.countWrites(prefix),
     addEntry,
     dispose() {
       for (const entry of entries) entry.core.dispose();
--- /dev/null
+++ b/src/actors/claims/claim_partition_actor.ts
@@ -0,0 +1,387 @@
+import {ActorSystemRef, Ref, dispatch} from 'nact';
+import {Result} from 'true-myth';
+import {
+  ClaimEvent,
+  ClaimEventKind,
+  ClaimRecord,
+  ClaimReply,
+  ClaimRequest,
+  ClaimVerdict,
+  FinishReply,
+  FinishRequest,
+  Generation,
+  applyEvent,
+  judgeClaim,
+  replayGenerations,
+  takeBatch,
+} from '../../decisions/claims';
+import {Store, StoreFailure} from '../../ports';
+import {Telemetry} from '../../telemetry';
+import {DecisionKind, Outcome} from '../../types';
+import {createActor, createTicker} from '../shared';
+import {AppendFailure} from './append_failure';
+import {createPartitionLog} from './partition_log';
+
+/** Owner of one partition of the keys; commits claims in groups. */
+export interface ClaimPartitionActor {
+  claim(request: ClaimRequest): Promise<ClaimReply>;
+  finish(request: FinishRequest): Promise<FinishReply>;
+  /** Claims that are retained in memory now. */
+  getRetained(): number;
+  dispose(): void;
+}
+
+/** Where the actor gets what it needs. */
+export interface ClaimPartitionOptions {
+  readonly system: ActorSystemRef;
+  readonly store: Store;
+  readonly telemetry: Telemetry;
+  readonly memberId: string;
+  readonly partition: number;
+  /** Least time from one commit to the next, in ms. */
+  readonly commitSpacingMs: number;
+  /** Time that a claim is kept at least, in ms. */
+  readonly retentionMs: number;
+  /** Whether this member is the one that should own the partition. */
+  readonly isOwner: () => boolean;
+}
+
+interface Ending {
+  readonly event: ClaimEvent;
+  readonly reply: Ref<FinishReply>;
+}
+
+interface Pending {
+  readonly request: ClaimRequest;
+  readonly reply: Ref<ClaimReply>;
+  /** Monotonic time after which the asking member has given up, in ms. */
+  readonly expiresAt: number;
+}
+
+enum MessageKind {
+  Claim,
+  Finish,
+  Loaded,
+  Committed,
+  Due,
+  Review,
+  Expired,
+}
+
+type Message =
+  | {readonly kind: MessageKind.Claim; readonly pending: Pending}
+  | {
+      readonly kind: MessageKind.Finish;
+      readonly request: FinishRequest;
+      readonly reply: Ref<FinishReply>;
+    }
+  | {
+      readonly kind: MessageKind.Loaded;
+      readonly loaded: Result<readonly Generation[], StoreFailure>;
+    }
+  | {
+      readonly kind: MessageKind.Committed;
+      readonly result: Result<Generation, AppendFailure>;
+    }
+  | {readonly kind: MessageKind.Due}
+  | {readonly kind: MessageKind.Review}
+  | {readonly kind: MessageKind.Expired; readonly generation: number};
+
+enum Phase {
+  Unloaded,
+  Loading,
+  Ready,
+  Committing,
+}
+
+/** Longest time that an end waits for a commit of its own, in ms. */
+const FINISH_DELAY_MS = 500;
+const RETRY_MS = 1_000;
+const MAX_PENDING = 10_000;
+const REVIEW_MS = 60_000;
+
+/** Creates the owner of a partition; it loads the partition at the first claim. */
+export function createClaimPartitionActor(
+  options: ClaimPartitionOptions,
+): ClaimPartitionActor {
+  const {system, telemetry, partition, commitSpacingMs} = options;
+  const log = createPartitionLog({...options, owner: options.memberId});
+  let phase = Phase.Unloaded;
+  let records = new Map<string, ClaimRecord>();
+  /** Claims that wait for the partition to be loaded. */
+  let unread: Pending[] = [];
+  /** Claims whose events wait for a commit, by key. */
+  let claiming = new Map<string, Pending>();
+  /** Claims that wait for the end of another request, by key. */
+  const repeats = new Map<string, Pending[]>();
+  /** Ends whose reporters wait for the commit. */
+  let endings: readonly Ending[] = [];
+  let queued: ClaimEvent[] = [];
+  let batch: readonly ClaimEvent[] = [];
+  let committedAt = -Infinity;
+  let finishDueAt = Infinity;
+  let timer: NodeJS.Timeout | undefined;
+
+  const actor = createActor<undefined, Message>({
+    system,
+    name: `claims-${partition}`,
+    initial: undefined,
+    log: telemetry.log,
+    handle: (_, message) => {
+      handle(message);
+      return undefined;
+    },
+  });
+
+  function handle(message: Message): void {
+    switch (message.kind) {
+      case MessageKind.Claim:
+        receive(message.pending);
+        break;
+      case MessageKind.Finish:
+        finish(message.request, message.reply);
+        break;
+      case MessageKind.Loaded:
+        takeOver(message.loaded);
+        break;
+      case MessageKind.Committed:
+        settle(message.result);
+        break;
+      case MessageKind.Due:
+        break;
+      case MessageKind.Review:
+        review();
+        break;
+      case MessageKind.Expired:
+        forget(message.generation);
+        break;
+    }
+    schedule();
+  }
+
+  function receive(pending: Pending): void {
+    if (unread.length + queued.length >= MAX_PENDING) {
+      return answer(pending, ClaimVerdict.Unavailable);
+    }
+    if (phase === Phase.Unloaded || phase === Phase.Loading) {
+      unread.push(pending);
+      return load();
+    }
+    judge(pending);
+  }
+
+  function load(): void {
+    if (phase !== Phase.Unloaded) return;
+    phase = Phase.Loading;
+    void log
+      .load()
+      .then(loaded => actor.tell({kind: MessageKind.Loaded, loaded}));
+  }
+
+  function takeOver(loaded: Result<readonly Generation[], StoreFailure>): void {
+    const waiting = unread;
+    unread = [];
+    if (loaded.isErr) {
+      phase = Phase.Unloaded;
+      waiting.forEach(pending => answer(pending, ClaimVerdict.Unavailable));
+      return;
+    }
+    phase = Phase.Ready;
+    records = replayGenerations(loaded.value);
+    for (const event of queued) applyEvent(records, event, Infinity);
+    telemetry.decide({
+      kind: DecisionKind.Claim,
+      subject: `claims-${partition}`,
+      pool: '',
+      cause: `${options.memberId} takes partition ${partition} of the claims over`,
+      inputs: {term: log.getTerm(), retained: records.size},
+    });
+    waiting.forEach(judge);
+  }
+
+  function judge(pending: Pending): void {
+    if (performance.now() >= pending.expiresAt) {
+      return answer(pending, ClaimVerdict.Unavailable);
+    }
+    const {request} = pending;
+    const known = records.get(request.key);
+    if (!known) return propose(pending);
+    const reply = judgeClaim(known, request);
+    if (reply.verdict === ClaimVerdict.Granted) {
+      if (claiming.has(request.key)) claiming.set(request.key, pending);
+      else dispatch(pending.reply, reply);
+      return;
+    }
+    if (reply.verdict === ClaimVerdict.Running) return awaitEnd(pending);
+    dispatch(pending.reply, reply);
+  }
+
+  function propose(pending: Pending): void {
+    const {key, requestId, fingerprint} = pending.request;
+    enqueue({kind: ClaimEventKind.Claim, key, requestId, fingerprint});
+    claiming.set(key, pending);
+  }
+
+  function enqueue(event: ClaimEvent): void {
+    queued.push(event);
+    applyEvent(records, event, Infinity);
+  }
+
+  function awaitEnd(pending: Pending): void {
+    const {key} = pending.request;
+    repeats.set(key, [...(repeats.get(key) ?? []), pending]);
+    const left = pending.expiresAt - performance.now();
+    setTimeout(() => {
+      const waiting = repeats.get(key)?.filter(other => other !== pending);
+      if (waiting?.length) repeats.set(key, waiting);
+      else repeats.delete(key);
+      answer(pending, ClaimVerdict.Running);
+    }, left / 2).unref?.();
+  }
+
+  function finish(request: FinishRequest, reply: Ref<FinishReply>): void {
+    const {key, requestId, outcome} = request;
+    const answer = request.answer ?? undefined;
+    const released = outcome === Outcome.NotRun;
+    const event: ClaimEvent = released
+      ? {kind: ClaimEventKind.Release, key, requestId}
+      : {kind: ClaimEventKind.Finish, key, requestId, outcome, answer};
+    enqueue(event);
+    finishDueAt = Math.min(finishDueAt, performance.now() + FINISH_DELAY_MS);
+    if (released) dispatch(reply, {recorded: true});
+    else endings = [...endings, {event, reply}];
+    const waiting = repeats.get(key) ?? [];
+    repeats.delete(key);
+    waiting.forEach(receive);
+    load();
+  }
+
+  function schedule(): void {
+    clearTimeout(timer);
+    if (phase !== Phase.Ready || queued.length === 0) return;
+    const now = performance.now();
+    const wanted = claiming.size > 0 ? now : finishDueAt;
+    const dueAt = Math.max(wanted, committedAt + commitSpacingMs);
+    if (dueAt <= now) return commit();
+    timer = setTimeout(() => actor.tell({kind: MessageKind.Due}), dueAt - now);
+  }
+
+  function commit(): void {
+    phase = Phase.Committing;
+    batch = takeBatch(queued);
+    queued = queued.slice(batch.length);
+    finishDueAt = queued.length > 0 ? performance.now() : Infinity;
+    committedAt = performance.now();
+    const deadlineAt = committedAt + FINISH_DELAY_MS;
+    void log
+      .append(batch, deadlineAt)
+      .then(result => actor.tell({kind: MessageKind.Committed, result}));
+  }
+
+  function settle(result: Result<Generation, AppendFailure>): void {
+    phase = Phase.Ready;
+    const settled = batch;
+    batch = [];
+    if (result.isOk) return confirm(settled, result.value.number);
+    reject(settled, result.error);
+  }
+
+  function confirm(settled: readonly ClaimEvent[], generation: number): void {
+    for (const event of settled) {
+      const record = records.get(event.key);
+      if (record) records.set(event.key, {...record, generation});
+      if (event.kind === ClaimEventKind.Claim) grant(event);
+    }
+    const done = new Set(settled);
+    for (const {event, reply} of endings) {
+      if (done.has(event)) dispatch(reply, {recorded: true});
+    }
+    endings = endings.filter(({event}) => !done.has(event));
+  }
+
+  function grant({key, requestId}: ClaimEvent): void {
+    const pending = claiming.get(key);
+    if (pending?.request.requestId !== requestId) return;
+    claiming.delete(key);
+    const inTime = performance.now() < pending.expiresAt;
+    answer(pending, inTime ? ClaimVerdict.Granted : ClaimVerdict.Unavailable);
+  }
+
+  /** Takes claims that were not committed back; ends are kept for a later commit. */
+  function reject(
+    settled: readonly ClaimEvent[],
+    failure: AppendFailure,
+  ): void {
+    telemetry.decide({
+      kind: DecisionKind.Claim,
+      subject: `claims-${partition}`,
+      pool: '',
+      cause: `a commit of partition ${partition} failed: ${failure}`,
+      inputs: {term: log.getTerm(), events: settled.length},
+    });
+    const waiting = [...claiming.values()];
+    claiming = new Map();
+    const events = [...settled, ...queued];
+    queued = events.filter(({kind}) => kind !== ClaimEventKind.Claim);
+    finishDueAt = queued.length > 0 ? performance.now() + RETRY_MS : Infinity;
+    if (failure === AppendFailure.Unavailable) takeBack(events);
+    else phase = Phase.Unloaded;
+    if (failure === AppendFailure.Fenced) unread.push(...waiting);
+    else waiting.forEach(pending => answer(pending, ClaimVerdict.Unavailable));
+    if (unread.length > 0 || queued.length > 0) load();
+  }
+
+  function takeBack(events: readonly ClaimEvent[]): void {
+    for (const {kind, key, requestId} of events) {
+      if (kind !== ClaimEventKind.Claim) continue;
+      if (records.get(key)?.requestId === requestId) records.delete(key);
+    }
+  }
+
+  function review(): void {
+    if (phase !== Phase.Ready) return;
+    if (!options.isOwner() && queued.length === 0) return unload();
+    void log
+      .expire()
+      .then(generation => actor.tell({kind: MessageKind.Expired, generation}));
+  }
+
+  function unload(): void {
+    phase = Phase.Unloaded;
+    records = new Map();
+  }
+
+  function forget(generation: number): void {
+    for (const [key, record] of records) {
+      if (record.generation <= generation) records.delete(key);
+    }
+  }
+
+  function answer(pending: Pending, verdict: ClaimVerdict): void {
+    dispatch(pending.reply, {verdict});
+  }
+
+  const ticker = createTicker(REVIEW_MS, () =>
+    actor.tell({kind: MessageKind.Review}),
+  );
+
+  return {
+    claim: request =>
+      actor.ask(reply => ({
+        kind: MessageKind.Claim,
+        pending: {
+          request,
+          reply,
+          expiresAt: performance.now() + request.timeoutMs,
+        },
+      })),
+    finish: request =>
+      actor.ask(reply => ({kind: MessageKind.Finish, request, reply})),
+    getRetained: () => records.size,
+    dispose() {
+      clearTimeout(timer);
+      ticker.dispose();
+      actor.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/src/actors/claims/claimed_requests.ts
@@ -0,0 +1,148 @@
+import {Readable} from 'node:stream';
+import {Result} from 'true-myth';
+import {
+  ClaimIdentity,
+  ClaimReply,
+  ClaimVerdict,
+  RecordedAnswer,
+  identifyRequest,
+} from '../../decisions/claims';
+import {Snapshot} from '../../state';
+import {Telemetry} from '../../telemetry';
+import {Configuration, Outcome, Profile, RefusalReason} from '../../types';
+import {Answer, InteractiveRequest, Refusal, Requests} from '../requests';
+import {Claims} from './claims';
+import {recordAnswer} from './record_answer';
+import {refuseClaim} from './refuse_claim';
+
+/** Where the claimed requests get what they need. */
+export interface ClaimedRequestsOptions {
+  readonly requests: Requests;
+  readonly claims: Claims;
+  readonly telemetry: Telemetry;
+  readonly configuration: Snapshot<Configuration | undefined>;
+}
+
+/** Longest time to wait for a claim, in ms. */
+const CLAIM_LIMIT_MS = 2_500;
+
+/**
+ * Puts claims in front of requests: a non-idempotent request with a key runs
+ * only under a durable claim of its key.
+ *
+ * @param options what runs the requests and what keeps the claims
+ */
+export function createClaimedRequests(
+  options: ClaimedRequestsOptions,
+): Requests {
+  const {requests, claims, telemetry, configuration} = options;
+
+  function findProfile(service: string): Profile | undefined {
+    const profiles = configuration.get()?.profiles ?? [];
+    return profiles.find(profile => profile.services.includes(service));
+  }
+
+  async function runClaimed(
+    request: InteractiveRequest,
+    idempotencyKey: string,
+    deadlineMs: number,
+  ): Promise<Result<Answer, Refusal>> {
+    const endsAt = performance.now() + deadlineMs;
+    const identity = identifyRequest({...request, idempotencyKey});
+    const limitMs = Math.min(CLAIM_LIMIT_MS, deadlineMs);
+    const claim = await claims.claim(identity, request.id, limitMs);
+    if (claim.verdict !== ClaimVerdict.Granted) {
+      return answerRepeat(request, identity, claim);
+    }
+    const leftMs = endsAt - performance.now();
+    if (leftMs <= 0 || request.signal?.aborted) {
+      void finish(request, identity, Outcome.NotRun);
+      return refuse(request, RefusalReason.DeadlinePassed);
+    }
+    const left = {...request, deadlineMs: leftMs};
+    const result = await requests.run(left);
+    if (result.isErr) {
+      const ended = finish(request, identity, result.error.outcome);
+      if (result.error.outcome === Outcome.NotRun) await ended;
+      return result;
+    }
+    return Result.ok(
+      recordAnswer(result.value, recorded =>
+        finish(request, identity, Outcome.Run, recorded),
+      ),
+    );
+  }
+
+  function finish(
+    {id}: InteractiveRequest,
+    {partition, key}: ClaimIdentity,
+    outcome: Outcome,
+    answer?: RecordedAnswer,
+  ): Promise<void> {
+    return claims.finish({partition, key, requestId: id, outcome, answer});
+  }
+
+  function answerRepeat(
+    request: InteractiveRequest,
+    identity: ClaimIdentity,
+    {verdict, answer}: ClaimReply,
+  ): Result<Answer, Refusal> {
+    if (verdict === ClaimVerdict.Finished && answer) {
+      return Result.ok(replay(answer));
+    }
+    if (verdict === ClaimVerdict.Unavailable) {
+      void finish(request, identity, Outcome.NotRun);
+    }
+    const refusal = refuseClaim(verdict);
+    telemetry.refused(request.service, refusal.reason);
+    return Result.err(refusal);
+  }
+
+  function refuse(
+    {service}: InteractiveRequest,
+    reason: RefusalReason,
+  ): Result<Answer, Refusal> {
+    telemetry.refused(service, reason);
+    return Result.err({
+      reason,
+      outcome: Outcome.NotRun,
+      detail: 'the deadline passed before the request was sent',
+    });
+  }
+
+  return {
+    ...requests,
+    async run(request) {
+      const {idempotencyKey, service} = request;
+      const profile = findProfile(service);
+      if (!profile || idempotencyKey === undefined) {
+        return requests.run(request);
+      }
+      if (request.idempotent ?? profile.idempotent) {
+        return requests.run(request);
+      }
+      const deadlineMs = request.deadlineMs ?? profile.deadlineMs;
+      return runClaimed(request, idempotencyKey, deadlineMs);
+    },
+    async drain() {
+      await requests.drain();
+      await claims.drain();
+    },
+    dispose() {
+      claims.dispose();
+      requests.dispose();
+    },
+  };
+}
+
+function replay({status, headers, body, hostId}: RecordedAnswer): Answer {
+  return {
+    status,
+    headers: {
+      ...(JSON.parse(headers) as Answer['headers']),
+      'sesamefront-replayed': 'true',
+    },
+    body: Readable.from([Buffer.from(body, 'base64')]),
+    hostId,
+  };
+}
--- /dev/null
+++ b/src/actors/claims/claims.ts
@@ -0,0 +1,201 @@
+import {ActorSystemRef} from 'nact';
+import {
+  ClaimIdentity,
+  ClaimReply,
+  ClaimRequest,
+  ClaimVerdict,
+  FinishRequest,
+  PARTITIONS,
+} from '../../decisions/claims';
+import {findPreferredMember} from '../../decisions/membership';
+import {AnyPeerHandler, PeerMethod, Peers, Store} from '../../ports';
+import {claimMethod, finishMethod} from '../../protocol';
+import {createBackoff, delay} from '../../state';
+import {Telemetry} from '../../telemetry';
+import {Member} from '../../types';
+import {
+  ClaimPartitionActor,
+  createClaimPartitionActor,
+} from './claim_partition_actor';
+
+/** Claims of idempotency keys, through whichever member owns them. */
+export interface Claims {
+  /** Asks for the claim of a key; Granted only if it is durable and came in time. */
+  claim(
+    identity: ClaimIdentity,
+    requestId: string,
+    timeoutMs: number,
+  ): Promise<ClaimReply>;
+  /** Reports the end of a claimed request, again until it is kept. */
+  finish(request: FinishRequest): Promise<void>;
+  /** What answers the calls of other members. */
+  readonly handlers: readonly AnyPeerHandler[];
+  /** Waits for ends that are not kept yet, up to a limit. */
+  drain(): Promise<void>;
+  /** Claims that are retained in memory now. */
+  getRetained(): number;
+  dispose(): void;
+}
+
+/** Where the claims get what they need. */
+export interface ClaimsOptions {
+  readonly system: ActorSystemRef;
+  readonly store: Store;
+  readonly peers: Peers;
+  readonly telemetry: Telemetry;
+  readonly memberId: string;
+  readonly getMembers: () => readonly Member[];
+  /** Least time between two commits of a partition, in ms. */
+  readonly commitSpacingMs?: number;
+  /** Time that a claim is kept at least, in ms. */
+  readonly retentionMs?: number;
+}
+
+/** Least time between two commits of a partition, in ms. */
+export const COMMIT_SPACING_MS = 160;
+/** Time that a claim is kept at least, in ms. */
+export const CLAIM_RETENTION_MS = 86_400_000;
+
+const PEER_TIMEOUT_MS = 1_000;
+/** Part of the time left that the owner gets before this member acts itself. */
+const PEER_SHARE = 0.6;
+/** Time for which an owner that gave no answer is passed over, in ms. */
+const SUSPECT_MS = 3_000;
+const FINISH_TRIES = 12;
+const DRAIN_LIMIT_MS = 3_000;
+
+/**
+ * Creates the claims of one member.
+ *
+ * A partition's owner only saves store writes: any member may commit, since a
+ * commit takes effect only if nothing was written since the partition was read.
+ * So a member acts itself when the owner gives no answer.
+ */
+export function createClaims(options: ClaimsOptions): Claims {
+  const {peers, memberId, telemetry} = options;
+  const partitions = new Map<number, ClaimPartitionActor>();
+  const suspects = new Map<string, number>();
+  const unfinished = new Set<Promise<void>>();
+  const abort = new AbortController();
+
+  function findOwner(partition: number): Member | undefined {
+    return findPreferredMember(`claims-${partition}`, options.getMembers());
+  }
+
+  function getPartition(partition: number): ClaimPartitionActor {
+    const known = partitions.get(partition);
+    if (known) return known;
+    const created = createClaimPartitionActor({
+      ...options,
+      partition,
+      commitSpacingMs: options.commitSpacingMs ?? COMMIT_SPACING_MS,
+      retentionMs: options.retentionMs ?? CLAIM_RETENTION_MS,
+      isOwner: () => findOwner(partition)?.id === memberId,
+    });
+    partitions.set(partition, created);
+    return created;
+  }
+
+  async function askOwner<Request extends {partition: number}, Reply>(
+    method: PeerMethod<Request, Reply>,
+    request: Request,
+    timeoutMs: number,
+  ): Promise<Reply | undefined> {
+    const owner = findOwner(request.partition);
+    if (!owner || owner.id === memberId) return undefined;
+    if ((suspects.get(owner.id) ?? 0) > performance.now()) return undefined;
+    const reply = await peers.call(owner, method, request, timeoutMs);
+    if (reply.isOk) return reply.value;
+    suspects.set(owner.id, performance.now() + SUSPECT_MS);
+    telemetry.log.warn('the owner of a claims partition gave no answer', {
+      owner: owner.id,
+      partition: request.partition,
+      failure: reply.error,
+    });
+    return undefined;
+  }
+
+  async function claim(request: ClaimRequest): Promise<ClaimReply> {
+    const endsAt = performance.now() + request.timeoutMs;
+    const share = Math.round(request.timeoutMs * PEER_SHARE);
+    const peerTimeoutMs = Math.min(PEER_TIMEOUT_MS, share);
+    const asked = {...request, timeoutMs: peerTimeoutMs};
+    const reply = await askOwner(claimMethod, asked, peerTimeoutMs);
+    const timeoutMs = Math.round(endsAt - performance.now());
+    if (timeoutMs <= 0) return {verdict: ClaimVerdict.Unavailable};
+    const final =
+      reply ??
+      (await getPartition(request.partition).claim({...request, timeoutMs}));
+    const late = performance.now() >= endsAt;
+    return late ? {verdict: ClaimVerdict.Unavailable} : final;
+  }
+
+  async function finishUntilKept(request: FinishRequest): Promise<void> {
+    const backoff = createBackoff();
+    for (let tries = 0; tries < FINISH_TRIES; tries += 1) {
+      const reply = await askOwner(finishMethod, request, PEER_TIMEOUT_MS);
+      const kept = reply ?? (await finishHere(request));
+      if (kept.recorded || abort.signal.aborted) return;
+      await delay(backoff.next(), abort.signal);
+    }
+  }
+
+  async function finishHere(request: FinishRequest) {
+    try {
+      return await getPartition(request.partition).finish(request);
+    } catch {
+      return {recorded: false};
+    }
+  }
+
+  return {
+    async claim({partition, key, fingerprint}, requestId, timeoutMs) {
+      try {
+        const request = {partition, key, fingerprint, requestId, timeoutMs};
+        return await claim(request);
+      } catch {
+        return {verdict: ClaimVerdict.Unavailable};
+      }
+    },
+    finish(request) {
+      const done = finishUntilKept(request).finally(() =>
+        unfinished.delete(done),
+      );
+      unfinished.add(done);
+      return done;
+    },
+    handlers: [
+      {
+        method: claimMethod,
+        handle: async (request: ClaimRequest) => {
+          checkPartition(request.partition);
+          return getPartition(request.partition).claim(request);
+        },
+      },
+      {
+        method: finishMethod,
+        handle: async (request: FinishRequest) => {
+          checkPartition(request.partition);
+          return getPartition(request.partition).finish(request);
+        },
+      },
+    ],
+    async drain() {
+      const limit = new AbortController();
+      const all = Promise.all(unfinished).then(() => limit.abort());
+      await Promise.race([all, delay(DRAIN_LIMIT_MS, limit.signal)]);
+    },
+    getRetained: () =>
+      [...partitions.values()].reduce((sum, p) => sum + p.getRetained(), 0),
+    dispose() {
+      abort.abort();
+      for (const partition of partitions.values()) partition.dispose();
+      partitions.clear();
+    },
+  };
+}
+
+function checkPartition(partition: number): void {
+  if (partition < PARTITIONS) return;
+  throw new Error(`no partition ${partition} of the claims`);
+}
--- /dev/null
+++ b/src/actors/claims/partition_log.ts
@@ -0,0 +1,132 @@
+import {randomUUID} from 'node:crypto';
+import {Result} from 'true-myth';
+import {
+  ClaimEvent,
+  Generation,
+  createNextGeneration,
+  findExpired,
+} from '../../decisions/claims';
+import {Store, StoreFailure, Swap} from '../../ports';
+import {delay} from '../../state';
+import {AppendFailure} from './append_failure';
+
+/**
+ * The stored history of one partition, as one owner writes it.
+ *
+ * Every append swaps the last generation at the version that this owner saw,
+ * so it fails if any other owner has written since: the version is the fence.
+ */
+export interface PartitionLog {
+  /** Reads everything; later appends rest on what was read. */
+  load(): Promise<Result<readonly Generation[], StoreFailure>>;
+  /** Adds events in one write; returns the generation that holds them. */
+  append(
+    events: readonly ClaimEvent[],
+    deadlineAt: number,
+  ): Promise<Result<Generation, AppendFailure>>;
+  /** Deletes generations past the retention; returns their highest number. */
+  expire(): Promise<number>;
+  /** Fencing term of this owner's writes. */
+  getTerm(): number;
+}
+
+/** Where the log is kept. */
+export interface PartitionLogOptions {
+  readonly store: Store;
+  readonly partition: number;
+  readonly owner: string;
+  readonly retentionMs: number;
+}
+
+interface Stored {
+  readonly generation: Generation;
+  readonly version: number;
+}
+
+const NUMBER_DIGITS = 9;
+const RETRY_MS = 20;
+
+/** Creates the log of a partition; load it first. */
+export function createPartitionLog(options: PartitionLogOptions): PartitionLog {
+  const {store, partition, owner, retentionMs} = options;
+  const prefix = `claims/${partition}/`;
+  let stored: readonly Stored[] = [];
+  let term = 0;
+
+  function keyOf({number}: Generation): string {
+    return `${prefix}${String(number).padStart(NUMBER_DIGITS, '0')}`;
+  }
+
+  async function swapUntil(
+    swap: Swap,
+    deadlineAt: number,
+  ): Promise<Result<number, AppendFailure>> {
+    let lost = false;
+    for (;;) {
+      const answer = await store.swap(swap);
+      if (answer.isOk) {
+        const {swapped, version, found} = answer.value;
+        const mine = swapped || found?.value === swap.value;
+        if (mine) return Result.ok(version);
+        return Result.err(AppendFailure.Fenced);
+      }
+      if (answer.error === StoreFailure.AnswerLost) lost = true;
+      const certain = lost ? AppendFailure.Unknown : AppendFailure.Unavailable;
+      if (!lost || performance.now() > deadlineAt) return Result.err(certain);
+      await delay(RETRY_MS);
+    }
+  }
+
+  return {
+    async load() {
+      const listing = await store.list(prefix);
+      if (listing.isErr) return Result.err(listing.error);
+      stored = listing.value.entries
+        .map(({value, version}) => ({
+          generation: JSON.parse(value) as Generation,
+          version,
+        }))
+        .sort((a, b) => a.generation.number - b.generation.number);
+      term = (stored.at(-1)?.generation.term ?? 0) + 1;
+      return Result.ok(stored.map(({generation}) => generation));
+    },
+    async append(events, deadlineAt) {
+      const last = stored.at(-1);
+      const generation = createNextGeneration(last?.generation, events, {
+        term,
+        owner,
+        operationId: randomUUID(),
+        now: Date.now(),
+        retentionMs,
+      });
+      const replaces = last?.generation.number === generation.number;
+      const swap: Swap = {
+        key: keyOf(generation),
+        expectedVersion: replaces ? last.version : 0,
+        value: JSON.stringify(generation),
+      };
+      const swapped = await swapUntil(swap, deadlineAt);
+      if (swapped.isErr) return Result.err(swapped.error);
+      const kept = replaces ? stored.slice(0, -1) : stored;
+      stored = [...kept, {generation, version: swapped.value}];
+      return Result.ok(generation);
+    },
+    async expire() {
+      const generations = stored.map(({generation}) => generation);
+      let highest = 0;
+      for (const old of findExpired(generations, Date.now(), retentionMs)) {
+        const [{version}] = stored;
+        const deleted = await store.swap({
+          key: keyOf(old),
+          expectedVersion: version,
+          value: undefined,
+        });
+        if (deleted.isErr) break;
+        stored = stored.slice(1);
+        highest = old.number;
+      }
+      return highest;
+    },
+    getTerm: () => term,
+  };
+}
--- /dev/null
+++ b/src/decisions/claims/judge_claim.ts
@@ -0,0 +1,27 @@
+import {Outcome} from '../../types';
+import {ClaimRecord} from './claim_record';
+import {ClaimReply} from './claim_reply';
+import {ClaimRequest} from './claim_request';
+import {ClaimVerdict} from './claim_verdict';
+
+/**
+ * Decides what a claim of a key that has a record gets.
+ *
+ * @param record what is known of the key
+ * @param request the claim
+ * @returns the reply; Granted if the same request holds the claim already
+ */
+export function judgeClaim(
+  record: ClaimRecord,
+  request: ClaimRequest,
+): ClaimReply {
+  if (record.fingerprint !== request.fingerprint) {
+    return {verdict: ClaimVerdict.Mismatched};
+  }
+  if (record.outcome === Outcome.Run) {
+    return {verdict: ClaimVerdict.Finished, answer: record.answer};
+  }
+  if (record.outcome) return {verdict: ClaimVerdict.Unknown};
+  const mine = record.requestId === request.requestId;
+  return {verdict: mine ? ClaimVerdict.Granted : ClaimVerdict.Running};
+}
--- /dev/null
+++ b/src/history/requests/check_requests.ts
@@ -0,0 +1,110 @@
+import {Outcome} from '../../types';
+import {RequestAnswer} from './request_answer';
+import {RequestAttempt} from './request_attempt';
+import {RequestHistory} from './request_history';
+import {RequestRun} from './request_run';
+import {RequestViolation} from './request_violation';
+import {RequestViolationKind} from './request_violation_kind';
+
+/**
+ * Checks a history of concurrent requests.
+ *
+ * @param history what was sent, run and answered
+ * @returns every broken promise; none proves this history right
+ */
+export function checkRequests(
+  history: RequestHistory,
+): readonly RequestViolation[] {
+  const attempts = new Map(history.attempts.map(a => [a.requestId, a]));
+  const runs = groupBy(history.runs, run => run.requestId);
+  const runsByKey = groupBy(history.runs, run => run.idempotencyKey);
+  const answers = groupBy(history.answers, answer => answer.requestId);
+  return [
+    ...findDoubled(history, runs, runsByKey),
+    ...[...answers].flatMap(([requestId, given]) =>
+      findManyAnswers(requestId, given),
+    ),
+    ...history.answers.flatMap(answer =>
+      checkAnswer(answer, attempts.get(answer.requestId), runs, runsByKey),
+    ),
+  ];
+}
+
+type Runs = ReadonlyMap<string, readonly RequestRun[]>;
+
+function findDoubled(
+  {attempts}: RequestHistory,
+  runs: Runs,
+  runsByKey: Runs,
+): readonly RequestViolation[] {
+  const guarded = attempts.filter(attempt => !attempt.idempotent);
+  const keys = new Set(guarded.flatMap(a => a.idempotencyKey ?? []));
+  const ids = guarded.map(attempt => attempt.requestId);
+  return [
+    ...[...keys].flatMap(key => findMany(key, runsByKey.get(key))),
+    ...ids.flatMap(id => findMany(id, runs.get(id))),
+  ];
+}
+
+function findMany(
+  subject: string,
+  runs: readonly RequestRun[] = [],
+): readonly RequestViolation[] {
+  if (runs.length <= 1) return [];
+  const hosts = runs.map(run => run.hostId).join(', ');
+  const detail = `ran ${runs.length} times, at ${hosts}`;
+  return [{kind: RequestViolationKind.Doubled, subject, detail}];
+}
+
+function findManyAnswers(
+  subject: string,
+  answers: readonly RequestAnswer[],
+): readonly RequestViolation[] {
+  if (answers.length <= 1) return [];
+  const detail = `${answers.length} answers to one attempt`;
+  return [{kind: RequestViolationKind.ManyAnswers, subject, detail}];
+}
+
+function checkAnswer(
+  answer: RequestAnswer,
+  attempt: RequestAttempt | undefined,
+  runs: Runs,
+  runsByKey: Runs,
+): readonly RequestViolation[] {
+  const {requestId: subject, outcome, complete, content} = answer;
+  const own = runs.get(subject) ?? [];
+  const key = attempt?.idempotencyKey;
+  const keyed = key === undefined ? [] : (runsByKey.get(key) ?? []);
+  if (outcome === Outcome.NotRun && own.length > 0) {
+    const detail = `reported as not run, but ran at ${own[0].hostId}`;
+    return [{kind: RequestViolationKind.FalseNotRun, subject, detail}];
+  }
+  if (outcome !== Outcome.Run) return [];
+  if (own.length + keyed.length === 0) {
+    const detail = 'reported as run, but no worker ran it';
+    return [{kind: RequestViolationKind.FalseRun, subject, detail}];
+  }
+  if (!complete) return [];
+  if (content === undefined) {
+    const detail = 'an unreadable answer ended as if it were whole';
+    return [{kind: RequestViolationKind.CutAnswer, subject, detail}];
+  }
+  if (content === attempt?.content) return [];
+  const detail = `asked ${attempt?.content}, answered ${content}`;
+  return [{kind: RequestViolationKind.WrongAnswer, subject, detail}];
+}
+
+function groupBy<T>(
+  items: readonly T[],
+  keyOf: (item: T) => string | undefined,
+): ReadonlyMap<string, readonly T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    if (key === undefined) continue;
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/history/requests/index.ts
@@ -0,0 +1,8 @@
+/** Checks histories of concurrent requests: at most one run, exact outcomes, whole answers. */
+export * from './check_requests';
+export * from './request_answer';
+export * from './request_attempt';
+export * from './request_history';
+export * from './request_run';
+export * from './request_violation';
+export * from './request_violation_kind';
--- /dev/null
+++ b/src/history/requests/request_run.ts
@@ -0,0 +1,6 @@
+/** One run of a request as its worker recorded it. */
+export interface RequestRun {
+  readonly requestId: string;
+  readonly idempotencyKey?: string;
+  readonly hostId: string;
+}
--- a/src/stand_ins/platform/key_value.ts
+++ b/src/stand_ins/platform/key_value.ts
@@ -20,6 +20,8 @@
     afterRevision: number,
     waitMs: number,
   ): Promise<StoreChanges>;
+  /** Counts the changes so far to keys that start with an area such as "claims/". */
+  countWrites(area: string): number;
   /** Copies the whole state, to be restored later as an old backup. */
   backup(): readonly StoreEntry[];
   /** Replaces the whole state, as after a restore of an old backup. */
@@ -50,9 +52,13 @@
   let compactedTo = 0;
   let revision = 0;
   let leaseCount = 0;
+  /** Changes so far by the first part of the key. */
+  const writes = new Map<string, number>();
 
   function record(key: string, entry: StoreEntry | undefined): void {
     changes.push({key, revision, entry});
+    const area = key.slice(0, key.indexOf('/') + 1);
+    writes.set(area, (writes.get(area) ?? 0) + 1);
     if (changes.length > KEPT_CHANGES) {
       const dropped = changes.splice(0, KEPT_CHANGES / 2);
       compactedTo = dropped[dropped.length - 1].revision;
@@ -159,6 +165,7 @@
         waiters.add(waiter);
       });
     },
+    countWrites: area => writes.get(area) ?? 0,
     backup: () => [...entries.values()],
     restore(backup) {
       for (const leaseId of [...leases.keys()]) endLease(leaseId);
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,4 +1,5 @@
 import {start, stop} from 'nact';
+import {createClaimedRequests, createClaims} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
@@ -51,6 +52,8 @@
   readonly telemetry: Telemetry;
   /** Decides which slots this entry host may use. */
   readonly slotPolicy?: SlotPolicy;
+  /** Time that a claim of an idempotency key is kept at least, in ms. */
+  readonly claimRetentionMs?: number;
 }
 
 /** Wires an entry host's actors. */
@@ -85,7 +88,16 @@
     configuration,
     leadership,
   });
-  const requests = createRequests({
+  const claims = createClaims({
+    system,
+    store,
+    peers,
+    telemetry,
+    memberId: self.id,
+    getMembers: membership.members.get,
+    retentionMs: options.claimRetentionMs,
+  });
+  const routed = createRequests({
     system,
     workers,
     telemetry,
@@ -95,6 +107,12 @@
     memberId: self.id,
     slotPolicy,
   });
+  const requests = createClaimedRequests({
+    requests: routed,
+    claims,
+    telemetry,
+    configuration: configuration.current,
+  });
 
   function dispose(): void {
     leaders.dispose();
@@ -125,6 +143,7 @@
     }),
     requests,
     handlers: [
+      ...claims.handlers,
       {
         method: heartbeatMethod,
         handle: async () => ({
