Read 64-bit protobuf fields as numbers in every build

Cause: where the optional package long is installed, protobufjs decodes uint64 as Long objects, so a heartbeat's revision compared to a number as NaN; the single binary, which lacks that package, read numbers. Found by the scenario that fuzzes the members' port.

Change: the codec is configured without long; revisions stay below 2^53.

--- a/src/protocol/method.ts
+++ b/src/protocol/method.ts
@@ -1,5 +1,10 @@
+import protobuf from 'protobufjs/minimal.js';
 import {PeerMethod} from '../ports';
 
+// 64-bit fields read as numbers whether or not the optional package "long" is there.
+protobuf.util.Long = undefined as never;
+protobuf.configure();
+
 /** Static protobuf code of one message type. */
 export interface MessageCodec<T> {
   encode(message: T): {finish(): Uint8Array};
