Answer bad input at the HTTP ports with its reason, and cut no request

Cause: input that the parser refused got Node's empty 400; an error inside the entry host was answered as a bad request with outcome not-run, which may be false after the request was sent; dot segments let a path leave its service towards the worker's control routes; a garbage line behind a request would have been answered in its place.

Change: problems for malformed, late and ambiguous input; 502 with outcome unknown for internal errors; paths, header texts and repeated headers checked; a refused body is read on up to 4 MB so that its sender sees the answer; open requests of a connection are answered before it ends; relayed bytes are counted against the stated length.

--- /dev/null
+++ b/features/http/hardening.steps.ts
@@ -0,0 +1,277 @@
+import assert from 'node:assert/strict';
+import {Readable} from 'node:stream';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {Result} from 'true-myth';
+import {createGrpcPeerServer, createGrpcPeers} from '../../src/adapters/peer';
+import type {JobCalls} from '../../src/actors/jobs';
+import type {Answer, Refusal, Requests} from '../../src/actors/requests';
+import {createCallersHandle} from '../../src/http/callers';
+import {Route, createOperatorsHandle} from '../../src/http/operators';
+import {
+  Listener,
+  ListenerLimits,
+  createListener,
+  readJson,
+  sendJson,
+} from '../../src/http/shared';
+import {heartbeatMethod} from '../../src/protocol';
+import {LogLevel, createTelemetry} from '../../src/telemetry';
+import {Member, Outcome, RefusalReason} from '../../src/types';
+import {createFuzzInput} from './fuzz_input';
+import {RawAnswer, sendRaw} from './raw_client';
+
+const ADDRESS = '127.0.0.1';
+const MAX_OPERATOR_BODY = 1_000;
+
+const UNKNOWN_SERVICE: Refusal = {
+  reason: RefusalReason.UnknownService,
+  outcome: Outcome.NotRun,
+  detail: 'no profile in force names the service',
+};
+
+let ports: Readonly<Record<string, Listener>> = {};
+let run: Requests['run'];
+let answers: RawAnswer[] = [];
+let disposals: (() => unknown)[] = [];
+let membersPort = 0;
+
+After(async () => {
+  await Promise.all(disposals.map(dispose => dispose()));
+  disposals = [];
+});
+
+Given('the HTTP ports of an entry host', () => openPorts({}));
+
+Given('the HTTP ports of an entry host with short time limits', () =>
+  openPorts({
+    headersTimeoutMs: 50,
+    requestTimeoutMs: 50,
+    checkIntervalMs: 20,
+  }),
+);
+
+When(
+  '{int} random inputs of seed {int} go to the {string} port',
+  async (count: number, seed: number, name: string) => {
+    const input = createFuzzInput(seed, count);
+    answers = [];
+    for (const bytes of input) {
+      answers.push(await sendRaw(ports[name].port, bytes));
+    }
+  },
+);
+
+Then('each random input got a 4xx that says what was wrong', () => {
+  for (const {status, body, headers} of answers) {
+    assert.ok(status >= 400 && status < 500, `${status}: ${headers}`);
+    if (status === 417) continue;
+    const problem = JSON.parse(body);
+    assert.ok(problem.detail || problem.findings, body);
+    assert.equal(problem.outcome, Outcome.NotRun);
+  }
+});
+
+Then('the {string} port still answers', async (name: string) => {
+  const answer = await sendRaw(ports[name].port, get('/healthz'));
+  assert.equal(answer.status, 200);
+});
+
+Given("a members' port that answers heartbeats", async () => {
+  const server = await createGrpcPeerServer(ADDRESS, 0);
+  server.serve([{method: heartbeatMethod, handle: async beat => beat}]);
+  membersPort = server.port;
+  disposals.push(() => server.dispose());
+});
+
+When(
+  "{int} random inputs of seed {int} go to the members' port",
+  async (count: number, seed: number) => {
+    for (const bytes of createFuzzInput(seed, count)) {
+      await sendRaw(membersPort, bytes);
+    }
+  },
+);
+
+Then("the members' port still answers heartbeats", async () => {
+  const peers = createGrpcPeers();
+  disposals.push(() => peers.dispose());
+  const beat = {memberId: 'a', configurationRevision: 3};
+  const member = {address: ADDRESS, peerPort: membersPort} as Member;
+  const reply = await peers.call(member, heartbeatMethod, beat, 60_000);
+  assert.equal(reply.isOk && reply.value.configurationRevision, 3);
+});
+
+When(
+  "a request with the headers {string} goes to the callers' port",
+  async (headers: string) => {
+    const lines = headers.replaceAll('; ', '\r\n');
+    const text = `POST /services/a/x HTTP/1.1\r\nhost: a\r\n${lines}\r\n\r\nabc`;
+    answers = [await sendRaw(ports.callers.port, text)];
+  },
+);
+
+When("a body of {int} bytes goes to the callers' port", async (n: number) => {
+  const head = `POST /services/a/x HTTP/1.1\r\nhost: a\r\ncontent-length: ${n}`;
+  const text = `${head}\r\n\r\n${'x'.repeat(n)}`;
+  answers = [await sendRaw(ports.callers.port, text)];
+});
+
+When(
+  "a chunked body of {int} bytes goes to the callers' port",
+  async (n: number) => {
+    const head =
+      'POST /services/a/x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked';
+    const body = `${n.toString(16)}\r\n${'x'.repeat(n)}\r\n0\r\n\r\n`;
+    answers = [await sendRaw(ports.callers.port, `${head}\r\n\r\n${body}`)];
+  },
+);
+
+When("headers of {int} bytes go to the callers' port", async (n: number) => {
+  const text = `GET / HTTP/1.1\r\nhost: a\r\nx: ${'x'.repeat(n)}\r\n\r\n`;
+  answers = [await sendRaw(ports.callers.port, text)];
+});
+
+When(
+  "half a request goes to the callers' port and its sender waits",
+  async () => {
+    const half = 'GET /services/a/x HTTP/1.1\r\nhost: a\r\nx';
+    answers = [await sendRaw(ports.callers.port, half, true)];
+  },
+);
+
+When(
+  "a worker's answer states 10 bytes and has {int}",
+  async (bytes: number) => {
+    run = async () =>
+      Result.ok<Answer, Refusal>({
+        status: 200,
+        headers: {'content-length': '10'},
+        body: Readable.from([Buffer.alloc(bytes, 'x')]),
+        hostId: 'worker',
+      });
+    answers = [await sendRaw(ports.callers.port, get('/services/a/x'))];
+  },
+);
+
+Then('the caller sees a broken transfer', () => {
+  const [{status, body}] = answers;
+  assert.ok(status === 0 || body.length !== 10, `${status} ${body}`);
+});
+
+When('garbage follows a request that runs', async () => {
+  let release = () => {};
+  const running = new Promise<void>(started => {
+    run = () =>
+      new Promise(resolve => {
+        started();
+        release = () => resolve(Result.err(UNKNOWN_SERVICE));
+      });
+  });
+  const text = `${get('/services/a/x')}garbage\r\n\r\n`;
+  const sent = sendRaw(ports.callers.port, text, true);
+  await running;
+  release();
+  answers = [await sent];
+});
+
+Then("the request's caller has no answer but its own", () => {
+  const [{status, body, after}] = answers;
+  assert.equal(status, 404);
+  assert.equal(JSON.parse(body).reason, RefusalReason.UnknownService);
+  assert.equal(after, '');
+});
+
+When('running a request fails inside the entry host', async () => {
+  run = () => Promise.reject(new Error('planted'));
+  answers = [await sendRaw(ports.callers.port, get('/services/a/x'))];
+});
+
+When("the callers' listener starts closing", () => {
+  ports.callers.startClosing();
+});
+
+Then("the next answer of the callers' port ends its connection", async () => {
+  const answer = await sendRaw(ports.callers.port, get('/healthz'), true);
+  assert.equal(answer.status, 200);
+  assert.match(answer.headers, /connection: close/i);
+});
+
+Then(
+  "the callers' port answers {int} with {string}",
+  (status: number, detail: string) => {
+    const [answer] = answers;
+    assert.equal(answer.status, status, answer.headers);
+    assert.ok(answer.body.includes(detail), answer.body);
+  },
+);
+
+Then("the answer's outcome is {string}", (outcome: string) => {
+  assert.equal(JSON.parse(answers[0].body).outcome, outcome);
+});
+
+Then(
+  "the callers' port answers {int} to {string}",
+  async (status: number, target: string) => {
+    const answer = await sendRaw(ports.callers.port, get(target));
+    assert.equal(answer.status, status);
+    assert.ok(JSON.parse(answer.body).detail);
+  },
+);
+
+async function openPorts(limits: ListenerLimits): Promise<void> {
+  run = async () => Result.err<Answer, Refusal>(UNKNOWN_SERVICE);
+  const telemetry = createTelemetry('entry', LogLevel.Error);
+  const refuseJob = async () => Result.err(RefusalReason.NotFound);
+  const jobs = {
+    submit: refuseJob,
+    list: refuseJob,
+    get: refuseJob,
+    cancel: refuseJob,
+  } as unknown as JobCalls;
+  const requests: Requests = {
+    run: request => run(request),
+    drain: async () => {},
+    dispose: () => {},
+  };
+  const callers = await createListener(ADDRESS, 0, limits);
+  const isReady = () => true;
+  callers.serve(createCallersHandle({requests, jobs, telemetry, isReady}));
+  const operators = await createListener(ADDRESS, 0, limits);
+  operators.serve(createOperatorsHandle(createRoutes(), 'token'));
+  ports = {callers, operators};
+  disposals.push(
+    () => callers.dispose(),
+    () => operators.dispose(),
+  );
+}
+
+function createRoutes(): readonly Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/healthz',
+      open: true,
+      answer: async (_, response) => sendJson(response, 200, {}),
+    },
+    {
+      method: 'PUT',
+      path: '/v1/configuration',
+      open: true,
+      answer: async (request, response) => {
+        await readJson(request, MAX_OPERATOR_BODY);
+        sendJson(response, 422, {detail: 'no', outcome: Outcome.NotRun});
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/hosts/:id',
+      open: true,
+      answer: async (_, response) =>
+        sendJson(response, 404, {detail: 'no host', outcome: Outcome.NotRun}),
+    },
+  ];
+}
+
+function get(target: string): string {
+  return `GET ${target} HTTP/1.1\r\nhost: a\r\n\r\n`;
+}
--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -10,7 +10,11 @@
 let installed: ReturnType<typeof FakeTimers.install> | undefined;
 const systemRandom = Math.random;
 
-Before(() => {
+/** Tag of scenarios that need the system's clock for a library's sockets. */
+const REAL_CLOCK = '@real-clock';
+
+Before(({pickle}) => {
+  if (pickle.tags.some(({name}) => name === REAL_CLOCK)) return;
   installed = FakeTimers.install({
     now: START_AT,
     toFake: [
--- a/src/actors/claims/claimed_requests.ts
+++ b/src/actors/claims/claimed_requests.ts
@@ -138,11 +138,9 @@
 function replay({status, headers, body, hostId}: RecordedAnswer): Answer {
   return {
     status,
-    headers: {
-      ...(JSON.parse(headers) as Answer['headers']),
-      'sesamefront-replayed': 'true',
-    },
+    headers: JSON.parse(headers) as Answer['headers'],
     body: Readable.from([Buffer.from(body, 'base64')]),
     hostId,
+    replayed: true,
   };
 }
--- a/src/actors/requests/answer.ts
+++ b/src/actors/requests/answer.ts
@@ -7,4 +7,6 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Readable;
   readonly hostId: string;
+  /** True if it is the recorded answer to an earlier request with the same key. */
+  readonly replayed?: boolean;
 }
--- /dev/null
+++ b/src/http/callers/read_request.ts
@@ -0,0 +1,74 @@
+import {randomUUID} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {InteractiveRequest} from '../../actors/requests';
+import {createBadRequest, readBody} from '../shared';
+import {
+  forwardHeaders,
+  readFlag,
+  readNumber,
+  readText,
+} from './request_headers';
+
+const MAX_BODY_BYTES = 1_048_576;
+const MAX_DEADLINE_MS = 600_000;
+const MAX_TEXT = 255;
+
+const SERVICE = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+const PATH = /^[\x21\x24-\x5b\x5d-\x7e]*$/;
+/** A segment "." or "..", also encoded, by which a path could leave its service. */
+const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}($|[/\\?#])/i;
+const REFUSED_METHODS: readonly string[] = ['TRACE', 'CONNECT'];
+
+/**
+ * Reads an interactive request.
+ *
+ * @throws RequestError that says what is wrong with it
+ */
+export async function readRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<InteractiveRequest> {
+  const {service, path} = readTarget(request);
+  const abort = new AbortController();
+  response.on('close', () => abort.abort());
+  const {headers, method = 'GET'} = request;
+  if (REFUSED_METHODS.includes(method)) {
+    throw createBadRequest(`method ${method} is not served`);
+  }
+  const read = {
+    id: randomUUID(),
+    service,
+    team: readText(request, 'sesamefront-team', MAX_TEXT) ?? '',
+    method,
+    path,
+    headers: forwardHeaders(headers),
+    idempotent: readFlag(request, 'sesamefront-idempotent'),
+    idempotencyKey: readText(request, 'idempotency-key', MAX_TEXT),
+    deadlineMs: readNumber(request, 'sesamefront-deadline-ms', MAX_DEADLINE_MS),
+    signal: abort.signal,
+  };
+  return {...read, body: await readBody(request, MAX_BODY_BYTES)};
+}
+
+interface Target {
+  readonly service: string;
+  readonly path: string;
+}
+
+function readTarget(request: IncomingMessage): Target {
+  const url = request.url ?? '/';
+  const [, , service, ...rest] = url.split('/');
+  const [name] = service.split('?');
+  if (!SERVICE.test(name)) {
+    throw createBadRequest('the path names no service: /services/SERVICE/PATH');
+  }
+  const query = service.slice(name.length);
+  const path = `/${rest.join('/')}${rest.length === 0 ? query : ''}`;
+  if (!PATH.test(path)) {
+    throw createBadRequest('the path holds characters that must be encoded');
+  }
+  if (DOT_SEGMENT.test(path.split('?')[0])) {
+    throw createBadRequest('the path holds "." or ".." segments');
+  }
+  return {service: name, path};
+}
--- /dev/null
+++ b/src/http/callers/request_headers.ts
@@ -0,0 +1,102 @@
+import {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import {createBadRequest} from '../shared';
+
+/** Headers that belong to one connection and go no further. */
+const HOP_HEADERS: readonly string[] = [
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+  'http2-settings',
+];
+
+const OWN_PREFIX = 'sesamefront-';
+
+/** Returns the headers that go on to the other side. */
+export function forwardHeaders(
+  headers: IncomingHttpHeaders,
+): IncomingHttpHeaders {
+  const named = String(headers.connection ?? '').toLowerCase();
+  const dropped = [...HOP_HEADERS, ...named.split(/\s*,\s*/)];
+  const kept = Object.entries(headers).filter(
+    ([name]) => !dropped.includes(name) && !name.startsWith(OWN_PREFIX),
+  );
+  return Object.fromEntries(kept);
+}
+
+/**
+ * Reads a header that may be given once.
+ *
+ * @throws RequestError if it is given more than once
+ */
+export function readHeader(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const values = request.headersDistinct[name] ?? [];
+  if (values.length > 1) {
+    throw createBadRequest(`header ${name} is given more than once`);
+  }
+  return values[0];
+}
+
+/**
+ * Reads a header that is true or false.
+ *
+ * @throws RequestError if it is anything else
+ */
+export function readFlag(
+  request: IncomingMessage,
+  name: string,
+): boolean | undefined {
+  const value = readHeader(request, name);
+  if (value === undefined) return undefined;
+  if (value === 'true') return true;
+  if (value === 'false') return false;
+  throw createBadRequest(`header ${name} must be true or false`);
+}
+
+/**
+ * Reads a header that is a positive number.
+ *
+ * @throws RequestError if it is anything else or above the limit
+ */
+export function readNumber(
+  request: IncomingMessage,
+  name: string,
+  limit: number,
+): number | undefined {
+  const value = readHeader(request, name);
+  if (value === undefined) return undefined;
+  const number = /^\d{1,12}(\.\d{1,6})?$/.test(value) ? Number(value) : 0;
+  if (number > 0 && number <= limit) return number;
+  throw createBadRequest(
+    `header ${name} must be a positive number up to ${limit}`,
+  );
+}
+
+/**
+ * Reads a header that is a short printable text.
+ *
+ * @throws RequestError if it is empty, too long or holds other characters
+ */
+export function readText(
+  request: IncomingMessage,
+  name: string,
+  limit: number,
+): string | undefined {
+  const value = readHeader(request, name);
+  if (value === undefined) return undefined;
+  if (/^[\x20-\x7e]+$/.test(value) && value.length <= limit) return value;
+  throw createBadRequest(
+    `header ${name} must have 1 to ${limit} printable ASCII characters`,
+  );
+}
--- a/src/http/shared/body.ts
+++ b/src/http/shared/body.ts
@@ -1,40 +1,44 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
-
-/** A body that is larger than its limit or no JSON. */
-export class BodyError extends Error {
-  constructor(
-    message: string,
-    readonly tooLarge: boolean,
-  ) {
-    super(message);
-  }
-}
+import {createBadRequest, createBodyTooLarge} from './request_error';
 
 /**
  * Reads a whole body.
  *
- * @throws BodyError if it is longer than the limit
+ * @throws RequestError if it is longer than the limit
  */
 export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Buffer> {
+  checkStatedLength(request, limitBytes);
   const chunks: Buffer[] = [];
   let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > limitBytes) {
-      throw new BodyError(`body exceeds ${limitBytes} bytes`, true);
-    }
-    chunks.push(chunk as Buffer);
+  const body = request.iterator({destroyOnReturn: false});
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > limitBytes) throw createBodyTooLarge(limitBytes);
+    chunks.push(chunk);
   }
   return Buffer.concat(chunks);
 }
 
+/**
+ * Refuses a body whose stated length exceeds a limit before it is read.
+ *
+ * @throws RequestError if it does
+ */
+export function checkStatedLength(
+  request: IncomingMessage,
+  limitBytes: number,
+): void {
+  const stated = Number(request.headers['content-length'] ?? 0);
+  if (stated > limitBytes) throw createBodyTooLarge(limitBytes);
+}
+
 /**
  * Reads a JSON body; an empty one reads as {}.
  *
- * @throws BodyError if it is too long or no JSON
+ * @throws RequestError if it is too long or no JSON
  */
 export async function readJson<T>(
   request: IncomingMessage,
@@ -45,7 +49,7 @@
   try {
     return JSON.parse(body.toString()) as T;
   } catch (error) {
-    throw new BodyError(`body is no JSON: ${(error as Error).message}`, false);
+    throw createBadRequest(`body is no JSON: ${(error as Error).message}`);
   }
 }
 
--- a/src/http/shared/index.ts
+++ b/src/http/shared/index.ts
@@ -2,3 +2,4 @@
 export * from './body';
 export * from './listener';
 export * from './problem';
+export * from './request_error';
--- a/src/http/shared/listener.ts
+++ b/src/http/shared/listener.ts
@@ -1,14 +1,18 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {Outcome, RefusalReason} from '../../types';
-import {BodyError} from './body';
+import {answerClientError, refuseTunnel} from './client_error';
+import {createOpenRequests} from './open_requests';
 import {sendProblem} from './problem';
+import {RequestError} from './request_error';
 
 /** A listening HTTP server. */
 export interface Listener {
   readonly port: number;
   /** Sets what answers the requests; until then they are refused. */
   serve(handle: Handle): void;
+  /** Ends each connection after its next answer, without cutting a request. */
+  startClosing(): void;
   /** Stops accepting, lets open requests finish and closes idle connections. */
   dispose(): Promise<void>;
 }
@@ -19,38 +23,70 @@
   response: ServerResponse,
 ) => Promise<void>;
 
+/** Limits of a listener; all have defaults. */
+export interface ListenerLimits {
+  /** Time in which the headers must be in, in ms. */
+  readonly headersTimeoutMs?: number;
+  /** Time in which the whole request must be in, in ms. */
+  readonly requestTimeoutMs?: number;
+  readonly maxConnections?: number;
+  /** Time between two checks of the timeouts, in ms. */
+  readonly checkIntervalMs?: number;
+}
+
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
+const CHECK_CONNECTIONS_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
 const MAX_HEADER_BYTES = 16_384;
+const MAX_HEADERS = 100;
 const MAX_CONNECTIONS = 4_096;
+/** Longest time to wait for open requests at the end, in ms. */
+const CLOSE_LIMIT_MS = 60_000;
+/** What is still read of a refused body, so that its sender sees the answer. */
+const LINGER_BYTES = 4_194_304;
+const LINGER_MS = 2_000;
 
 /**
  * Starts an HTTP server.
  *
  * @param address IP address to listen on
  * @param port TCP port; 0 picks a free one
+ * @param limits limits other than the defaults
  */
 export async function createListener(
   address: string,
   port: number,
+  limits: ListenerLimits = {},
 ): Promise<Listener> {
   let handle: Handle = refuseEarly;
+  let closing = false;
+  const open = createOpenRequests();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: limits.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+      requestTimeout: limits.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval:
+        limits.checkIntervalMs ?? CHECK_CONNECTIONS_MS,
       keepAliveTimeout: KEEP_ALIVE_MS,
       requireHostHeader: true,
     },
     (request, response) => {
+      open.add(request, response);
+      if (closing) response.setHeader('connection', 'close');
+      response.on('finish', () => linger(request));
       handle(request, response).catch((error: Error) =>
         sendError(response, error),
       );
     },
   );
-  server.maxConnections = MAX_CONNECTIONS;
+  server.maxConnections = limits.maxConnections ?? MAX_CONNECTIONS;
+  server.maxHeadersCount = MAX_HEADERS;
+  server.on('clientError', (error, socket) =>
+    answerClientError(error, socket, open),
+  );
+  server.on('connect', (_, socket) => refuseTunnel(socket as Socket));
   await listen(server, address, port);
 
   return {
@@ -58,9 +94,19 @@
     serve(serving) {
       handle = serving;
     },
+    startClosing() {
+      closing = true;
+    },
     dispose: () =>
       new Promise(resolve => {
-        server.close(() => resolve());
+        const timer = setTimeout(
+          () => server.closeAllConnections(),
+          CLOSE_LIMIT_MS,
+        );
+        server.close(() => {
+          clearTimeout(timer);
+          resolve();
+        });
         server.closeIdleConnections();
       }),
   };
@@ -84,15 +130,42 @@
   });
 }
 
+/** Reads a bounded rest of an answered request, then ends its connection. */
+function linger(request: IncomingMessage): void {
+  if (request.complete || request.destroyed) return;
+  let left = LINGER_BYTES;
+  const timer = setTimeout(() => request.socket.destroy(), LINGER_MS);
+  request.on('close', () => clearTimeout(timer));
+  request.on('data', (chunk: Buffer) => {
+    left -= chunk.length;
+    if (left < 0) request.socket.destroy();
+  });
+  request.resume();
+}
+
 function sendError(response: ServerResponse, error: Error): void {
-  if (response.headersSent) {
+  if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  const tooLarge = error instanceof BodyError && error.tooLarge;
+  if (error instanceof RequestError) {
+    const {reason, message} = error;
+    return sendProblem(response, {
+      reason,
+      outcome: Outcome.NotRun,
+      detail: message,
+    });
+  }
+  if (error instanceof URIError) {
+    return sendProblem(response, {
+      reason: RefusalReason.BadRequest,
+      outcome: Outcome.NotRun,
+      detail: 'the path is not well encoded',
+    });
+  }
   sendProblem(response, {
-    reason: tooLarge ? RefusalReason.BodyTooLarge : RefusalReason.BadRequest,
-    outcome: Outcome.NotRun,
-    detail: error.message,
+    reason: RefusalReason.OutcomeUnknown,
+    outcome: Outcome.Unknown,
+    detail: `internal error: ${error.message}`,
   });
 }
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -26,6 +26,8 @@
 
 /** Time between the loss of readiness and the end of listening, in ms. */
 const BALANCER_MS = 500;
+/** Longest wait for leaderships to be handed over, in ms. */
+const HANDOVER_LIMIT_MS = 5_000;
 
 /**
  * Wires and starts an entry host.
@@ -72,8 +74,14 @@
   let stopped: Promise<void> | undefined;
 
   async function stop(): Promise<void> {
-    await core.startStop();
+    const handedOver = core
+      .startStop()
+      .catch((error: Error) =>
+        telemetry.log.error('handing over failed', {error: error.message}),
+      );
+    callers.startClosing();
     await delay(BALANCER_MS);
+    await Promise.race([handedOver, delay(HANDOVER_LIMIT_MS)]);
     await callers.dispose();
     await core.finishStop();
     await operators.dispose();
