--- a/src/actors/fleet/fleet_view.ts
+++ b/src/actors/fleet/fleet_view.ts
@@ -1,27 +1,31 @@
+import {isDeepStrictEqual} from 'node:util';
+import {MergedHostList, mergeHostList} from '../../decisions/fleet';
 import {HostList, Store} from '../../ports';
 import {Mirror, Snapshot, createMirror, createSnapshot} from '../../state';
 import {Telemetry} from '../../telemetry';
 import {
+  DecisionKind,
   Host,
   HostAssignment,
-  HostState,
-  PoolHost,
   PoolRecord,
   Wave,
 } from '../../types';
 import {createTicker} from '../shared';
+import {PoolIndex, createPoolIndex} from './pool_index';
 
 /** What every member knows of hosts, pools and waves. */
-export interface FleetView {
-  /** The host list as last read; undefined until it has been. */
+export interface FleetView extends PoolIndex {
+  /** The host list as last believed; undefined until it has been read. */
   readonly hosts: Snapshot<readonly Host[] | undefined>;
   readonly assignments: Mirror<HostAssignment>;
   readonly records: Mirror<PoolRecord>;
   readonly waves: Mirror<Wave>;
-  /** Returns a pool's hosts with their states, sorted by id. */
-  getPoolHosts(pool: string): readonly PoolHost[];
-  /** Returns the assignments by host id. */
-  getAssignments(): ReadonlyMap<string, HostAssignment>;
+  /** Returns all waves. */
+  listWaves(): readonly Wave[];
+  /** Returns the record of a pool. */
+  getRecord(pool: string): PoolRecord | undefined;
+  /** True once the list has been read and every mirror is filled. */
+  isComplete(): boolean;
   /** Calls a listener after any change. */
   onChange(listener: () => void): () => void;
   dispose(): void;
@@ -43,6 +47,8 @@
   const assignments = createMirror<HostAssignment>(store, 'hosts/');
   const records = createMirror<PoolRecord>(store, 'pools/');
   const waves = createMirror<Wave>(store, 'waves/');
+  const index = createPoolIndex({hosts, assignments, records});
+  let merged: MergedHostList | undefined;
 
   async function readHosts(): Promise<void> {
     const read = await hostList.read();
@@ -50,37 +56,39 @@
       telemetry.log.debug('host list not read', {error: read.error});
       return;
     }
-    const sorted = [...read.value].sort((a, b) => a.id.localeCompare(b.id));
-    if (JSON.stringify(sorted) === JSON.stringify(hosts.get())) return;
-    hosts.set(sorted);
+    const next = mergeHostList(merged, read.value, Date.now());
+    noteImplausible(next, read.value.length);
+    merged = next;
+    if (isDeepStrictEqual(next.hosts, hosts.get())) return;
+    hosts.set(next.hosts);
   }
 
-  function getAssignments(): ReadonlyMap<string, HostAssignment> {
-    const values = [...assignments.entries.get().values()];
-    return new Map(values.map(({value}) => [value.hostId, value]));
-  }
-
-  function stateOf(host: Host, record: PoolRecord | undefined): HostState {
-    const entry = record?.unavailable.find(u => u.hostId === host.id);
-    if (entry) return entry.state;
-    return host.leaving ? HostState.Leaving : HostState.Active;
+  function noteImplausible(next: MergedHostList, read: number): void {
+    if (!next.implausible || merged?.implausible) return;
+    telemetry.decide({
+      kind: DecisionKind.Hold,
+      subject: 'host-list',
+      pool: '',
+      cause: 'the host list lacks too many hosts at once to be believed',
+      inputs: {known: next.hosts.length, read},
+    });
   }
 
   const ticker = createTicker(HOST_LIST_MS, () => void readHosts());
 
   return {
+    ...index,
     hosts,
     assignments,
     records,
     waves,
-    getAssignments,
-    getPoolHosts(pool) {
-      const assigned = assignments.entries.get();
-      const record = records.entries.get().get(`pools/${pool}`)?.value;
-      return (hosts.get() ?? [])
-        .filter(host => assigned.get(`hosts/${host.id}`)?.value.pool === pool)
-        .map(host => ({host, state: stateOf(host, record)}));
-    },
+    listWaves: () => [...waves.entries.get().values()].map(e => e.value),
+    getRecord: pool => records.entries.get().get(`pools/${pool}`)?.value,
+    isComplete: () =>
+      hosts.get() !== undefined &&
+      assignments.synced.get() &&
+      records.synced.get() &&
+      waves.synced.get(),
     onChange(listener) {
       const stops = [
         hosts.onChange(listener),
--- a/src/actors/fleet/index.ts
+++ b/src/actors/fleet/index.ts
@@ -1,4 +1,7 @@
-/** Hosts, pools, budget ledgers and maintenance waves. */
+/** Hosts, pools, budget ledgers, maintenance waves and moves. */
 export * from './fleet_view';
+export * from './host_calls';
+export * from './hosts_in_line';
 export * from './pool_fleet_actor';
+export * from './pool_index';
 export * from './waves';
--- /dev/null
+++ b/src/actors/fleet/ledger_notes.ts
@@ -0,0 +1,41 @@
+import {HostChange} from '../../decisions/fleet';
+import {Telemetry} from '../../telemetry';
+import {PoolRecord} from '../../types';
+
+/**
+ * Records the decisions behind a written ledger.
+ *
+ * @param telemetry takes the decisions
+ * @param record the ledger as written
+ * @param changes what was decided
+ * @param budget hosts that may be unavailable at once
+ */
+export function noteChanges(
+  telemetry: Telemetry,
+  record: PoolRecord,
+  changes: readonly HostChange[],
+  budget: number,
+): void {
+  const {pool, term, unavailable} = record;
+  for (const change of changes) {
+    telemetry.decide({
+      kind: change.kind,
+      subject: change.hostId,
+      pool,
+      cause: change.cause,
+      inputs: {
+        term,
+        from: change.from,
+        unavailable: unavailable.length,
+        budget,
+        ...(change.entry?.waveId ? {wave: change.entry.waveId} : {}),
+      },
+    });
+  }
+  telemetry.gauge(
+    'unavailable_hosts',
+    'Hosts that the budget counts as unavailable.',
+    pool,
+    unavailable.length,
+  );
+}
--- /dev/null
+++ b/src/actors/fleet/ledger_store.ts
@@ -0,0 +1,73 @@
+import {Store} from '../../ports';
+import {Write, WriteOutcome, write} from '../../state';
+import {PoolRecord, Unavailability} from '../../types';
+import {FleetView} from './fleet_view';
+
+/** A pool's record as its leader last read or wrote it. */
+export interface Ledger {
+  readonly record: PoolRecord;
+  readonly version: number;
+}
+
+/** Reads and swaps a pool's record under one term. */
+export interface LedgerStore {
+  /** Reads the record; undefined if it can't be read or has another term. */
+  load(): Promise<Ledger | undefined>;
+  /**
+   * Swaps the record for one with another ledger.
+   *
+   * Every value differs by its sequence number, so a lost answer is resolved by
+   * reading back, and a write that lands late makes the next swap conflict.
+   */
+  save(
+    ledger: Ledger,
+    unavailable: readonly Unavailability[],
+    budget: number,
+  ): Promise<{readonly outcome: WriteOutcome; readonly ledger?: Ledger}>;
+}
+
+/**
+ * Creates the reader and writer of a pool's record.
+ *
+ * @param store the key-value service
+ * @param view takes own writes over at once
+ * @param pool name of the pool
+ * @param term term under which this member leads
+ */
+export function createLedgerStore(
+  store: Store,
+  view: FleetView,
+  pool: string,
+  term: number,
+): LedgerStore {
+  const key = `pools/${pool}`;
+  let sequence = 0;
+
+  function accept({version}: Write, record: PoolRecord): Ledger {
+    view.records.accept(key, version, record);
+    return {record, version};
+  }
+
+  return {
+    async load() {
+      const read = await store.get(key);
+      if (read.isErr || !read.value) return undefined;
+      const record = JSON.parse(read.value.value) as PoolRecord;
+      if (record.term !== term) return undefined;
+      sequence = Math.max(sequence, record.sequence ?? 0);
+      return {record, version: read.value.version};
+    },
+    async save(ledger, unavailable, budget) {
+      sequence += 1;
+      const record = {...ledger.record, unavailable, sequence, budget};
+      const written = await write(store, {
+        key,
+        expectedVersion: ledger.version,
+        value: JSON.stringify(record),
+      });
+      const {outcome} = written;
+      if (outcome !== WriteOutcome.Written) return {outcome};
+      return {outcome, ledger: accept(written, record)};
+    },
+  };
+}
--- /dev/null
+++ b/src/actors/fleet/moves.ts
@@ -0,0 +1,44 @@
+import {Move, PoolCapacity, chooseMove} from '../../decisions/fleet';
+import {Configuration, Profile} from '../../types';
+import {FleetView} from './fleet_view';
+
+/**
+ * Finds the move out of a pool that the fleet's state calls for.
+ *
+ * @param view the fleet as this member knows it
+ * @param pool the pool whose leader asks
+ * @param configuration profiles of all pools
+ */
+export function findMove(
+  view: FleetView,
+  pool: string,
+  configuration: Configuration | undefined,
+): Move | undefined {
+  if (!configuration) return undefined;
+  const {profiles, acceptedAt} = configuration;
+  const donor = findCapacity(view, profiles, pool);
+  if (!donor) return undefined;
+  const others = profiles
+    .filter(profile => profile.pool !== pool)
+    .map(profile => findCapacity(view, profiles, profile.pool))
+    .filter(known => known !== undefined);
+  return chooseMove({
+    now: Date.now(),
+    donor,
+    others,
+    configuredAt: acceptedAt,
+    hosts: view.getListed(pool),
+  });
+}
+
+function findCapacity(
+  view: FleetView,
+  profiles: readonly Profile[],
+  pool: string,
+): PoolCapacity | undefined {
+  const profile = profiles.find(known => known.pool === pool);
+  const record = view.getRecord(pool);
+  if (!profile || !record) return undefined;
+  const assignments = [...view.getAssigned(pool).values()];
+  return {profile, record, assignments};
+}
--- a/src/actors/fleet/pool_fleet_actor.ts
+++ b/src/actors/fleet/pool_fleet_actor.ts
@@ -1,24 +1,36 @@
-import {ActorSystemRef} from 'nact';
-import {chooseDrains} from '../../decisions/fleet';
+import {ActorSystemRef, Ref, dispatch} from 'nact';
+import {Result} from 'true-myth';
+import {reviewLedger} from '../../decisions/fleet';
 import {Store, Workers} from '../../ports';
-import {WriteOutcome, write} from '../../state';
+import {WriteOutcome} from '../../state';
 import {Telemetry} from '../../telemetry';
 import {
-  DecisionKind,
-  Host,
-  HostAssignment,
+  Configuration,
   HostState,
-  PoolRecord,
   Profile,
+  RefusalReason,
   Unavailability,
-  Wave,
-  WaveState,
 } from '../../types';
 import {createActor, createTicker} from '../shared';
+import {createAssignmentStore} from './assignment_store';
 import {FleetView} from './fleet_view';
-
-/** The leader's keeper of one pool's hosts, budget ledger and drains. */
+import {giveOrders} from './host_orders';
+import {createHostProbes} from './host_probes';
+import {createHostUpkeep} from './host_upkeep';
+import {noteChanges} from './ledger_notes';
+import {Ledger, createLedgerStore} from './ledger_store';
+import {findMove} from './moves';
+import {Quarantine, addQuarantine} from './quarantine';
+import {findRebootLimit} from './reboot_limit';
+import {createWaveKeeper} from './wave_keeper';
+
+/** The leader's keeper of one pool's hosts, budget ledger, drains and moves. */
 export interface PoolFleetActor {
+  /** Takes a host out of service within the budget, until an operator releases it. */
+  quarantine(
+    hostId: string,
+    cause: string,
+  ): Promise<Result<Unavailability, RefusalReason>>;
   dispose(): void;
 }
 
@@ -34,261 +46,199 @@
   readonly term: number;
   /** Returns the pool's profile in force, if there is one. */
   readonly getProfile: () => Profile | undefined;
+  /** Returns the configuration in force; without it no host moves. */
+  readonly getConfiguration?: () => Configuration | undefined;
+}
+
+enum MessageKind {
+  Review,
+  Quarantine,
+}
+
+interface ReviewMessage {
+  readonly kind: MessageKind.Review;
 }
 
-interface State {
-  readonly record: PoolRecord;
-  readonly version: number;
+interface QuarantineMessage {
+  readonly kind: MessageKind.Quarantine;
+  readonly quarantine: Quarantine;
+  readonly reply: Ref<Result<Unavailability, RefusalReason>>;
 }
 
-const REVIEW_MS = 250;
+type Message = ReviewMessage | QuarantineMessage;
 
-/** Creates the actor that drains and reboots the hosts of a led pool. */
+const TICK_MS = 100;
+/** Ticks between two reviews without news. */
+const REVIEW_TICKS = 10;
+const SAVE_TRIES = 3;
+
+/** Creates the actor that keeps a led pool's hosts within its budget. */
 export function createPoolFleetActor(
   options: PoolFleetOptions,
 ): PoolFleetActor {
   const {system, store, workers, telemetry, view, pool, term} = options;
-  const key = `pools/${pool}`;
-
-  const actor = createActor<State | undefined, 'review'>({
+  const ledgers = createLedgerStore(store, view, pool, term);
+  const assignments = createAssignmentStore(store, view, `${pool}#${term}`);
+  const upkeep = createHostUpkeep({view, telemetry, assignments, pool});
+  const keeper = createWaveKeeper({store, view, telemetry, pool});
+  const probes = createHostProbes(workers, requestReview);
+  let reviewQueued = false;
+  let ticks = 0;
+
+  const actor = createActor<Ledger | undefined, Message>({
     system,
     name: `fleet-${pool}-${term}`,
     initial: undefined,
     log: telemetry.log,
-    handle: async state => {
-      const loaded = state ?? (await load());
-      return loaded ? review(loaded) : undefined;
+    handle: async (state, message) => {
+      if (message.kind === MessageKind.Review) reviewQueued = false;
+      const ledger = state ?? (await ledgers.load());
+      if (message.kind === MessageKind.Quarantine) {
+        return quarantine(ledger, message);
+      }
+      return ledger && review(ledger);
     },
   });
 
-  async function load(): Promise<State | undefined> {
-    const read = await store.get(key);
-    if (read.isErr || !read.value) return undefined;
-    const record = JSON.parse(read.value.value) as PoolRecord;
-    if (record.term !== term) return undefined;
-    return {record, version: read.value.version};
-  }
-
-  async function review(state: State): Promise<State | undefined> {
-    await adoptHosts();
+  async function review(ledger: Ledger): Promise<Ledger | undefined> {
     const profile = options.getProfile();
-    if (!profile) return state;
-    let current: State | undefined = state;
-    for (const entry of state.record.unavailable) {
-      if (current) current = await advance(current, entry);
-    }
-    if (current) current = await startDrains(current, profile);
-    await finishWaves();
-    return current;
+    if (!profile || !view.isComplete() || isSuperseded()) return ledger;
+    await upkeep.review(ledger.record.unavailable, probes.observations);
+    const next = await reviewOnce(ledger, profile);
+    if (next) await order(next);
+    await keeper.review();
+    return next;
   }
 
-  async function adoptHosts(): Promise<void> {
-    if (!view.assignments.synced.get()) return;
-    const assigned = view.getAssignments();
-    for (const host of view.hosts.get() ?? []) {
-      if (host.initialPool !== pool || assigned.has(host.id)) continue;
-      await assign({
-        hostId: host.id,
-        pool,
-        lastMaintainedAt: 0,
-        completedWaves: [],
-      });
+  async function reviewOnce(
+    ledger: Ledger,
+    profile: Profile,
+  ): Promise<Ledger | undefined> {
+    const assigned = view.getAssigned(pool);
+    const reviewed = reviewLedger({
+      now: Date.now(),
+      profile,
+      unavailable: ledger.record.unavailable,
+      hosts: view.getListed(pool),
+      assignments: assigned,
+      waves: view.listWaves(),
+      observations: probes.observations,
+      rebootLimitMs: findRebootLimit(assigned),
+      move: findMove(view, pool, options.getConfiguration?.()),
+    });
+    if (reviewed.changes.length === 0) return ledger;
+    if (!(await fenceMoves(ledger, reviewed.unavailable))) return ledger;
+    const saved = await ledgers.save(
+      ledger,
+      reviewed.unavailable,
+      profile.maxUnavailable,
+    );
+    if (saved.outcome === WriteOutcome.Unavailable) {
+      telemetry.refused(pool, RefusalReason.StoreUnavailable);
+      return ledger;
     }
+    if (!saved.ledger) return undefined;
+    const record = saved.ledger.record;
+    noteChanges(telemetry, record, reviewed.changes, profile.maxUnavailable);
+    return saved.ledger;
   }
 
-  async function assign(
-    assignment: HostAssignment,
-    version = 0,
+  /**
+   * Rewrites the assignments of moves that are given up, so that a hand-over
+   * that an earlier leader sent can't take effect afterwards.
+   */
+  async function fenceMoves(
+    {record}: Ledger,
+    unavailable: Ledger['record']['unavailable'],
   ): Promise<boolean> {
-    const hostKey = `hosts/${assignment.hostId}`;
-    const written = await write(store, {
-      key: hostKey,
-      expectedVersion: version,
-      value: JSON.stringify(assignment),
-    });
-    if (written.outcome !== WriteOutcome.Written) return false;
-    view.assignments.accept(hostKey, written.version, assignment);
+    const kept = new Set(
+      unavailable
+        .filter(entry => entry.state === HostState.Moving)
+        .map(entry => entry.hostId),
+    );
+    for (const {state, hostId} of record.unavailable) {
+      if (state !== HostState.Moving || kept.has(hostId)) continue;
+      if (!view.getAssigned(pool).has(hostId)) continue;
+      const outcome = await assignments.change(hostId, {});
+      if (outcome !== WriteOutcome.Written) return false;
+    }
     return true;
   }
 
-  async function save(
-    state: State,
-    unavailable: readonly Unavailability[],
-  ): Promise<State | undefined> {
-    const record = {...state.record, unavailable};
-    const written = await write(store, {
-      key,
-      expectedVersion: state.version,
-      value: JSON.stringify(record),
+  async function order(ledger: Ledger): Promise<void> {
+    const ordered = await giveOrders(workers, {
+      hosts: view.getListed(pool),
+      unavailable: ledger.record.unavailable,
+      observations: probes.observations,
+      waves: view.listWaves(),
+      term,
     });
-    if (written.outcome !== WriteOutcome.Written) return undefined;
-    view.records.accept(key, written.version, record);
-    return {record, version: written.version};
+    ordered.forEach(probes.hasten);
   }
 
-  async function startDrains(
-    state: State,
-    profile: Profile,
-  ): Promise<State | undefined> {
-    const drains = chooseDrains({
-      profile,
-      record: state.record,
-      hosts: view.getPoolHosts(pool),
-      assignments: view.getAssignments(),
-      waves: [...view.waves.entries.get().values()].map(e => e.value),
-    });
-    if (drains.length === 0) return state;
-    const added = drains.map(({hostId, waveId}) => ({
-      hostId,
-      waveId,
-      state: HostState.Draining as const,
-      since: Date.now(),
-      cause: `wave ${waveId}`,
-    }));
-    const saved = await save(state, [...state.record.unavailable, ...added]);
-    if (!saved) return undefined;
-    for (const {hostId, waveId} of drains) {
-      telemetry.decide({
-        kind: DecisionKind.Drain,
-        subject: hostId,
-        pool,
-        cause: `${hostId} is drained for wave ${waveId}`,
-        inputs: {
-          term,
-          unavailable: saved.record.unavailable.length,
-          budget: profile.maxUnavailable,
-        },
+  async function quarantine(
+    state: Ledger | undefined,
+    {quarantine, reply}: QuarantineMessage,
+  ): Promise<Ledger | undefined> {
+    let ledger = state;
+    let result: Result<Unavailability, RefusalReason> = Result.err(
+      RefusalReason.StoreUnavailable,
+    );
+    for (let tries = 0; tries < SAVE_TRIES; tries += 1) {
+      ledger ??= await ledgers.load();
+      const profile = options.getProfile();
+      if (!ledger || !profile) break;
+      const added = await addQuarantine({
+        ledger,
+        ledgers,
+        profile,
+        quarantine,
+        telemetry,
       });
+      ledger = added.ledger;
+      result = added.result;
+      if (ledger) break;
     }
-    return saved;
+    if (result.isErr) telemetry.refused(pool, result.error);
+    dispatch(reply, result);
+    return ledger;
   }
 
-  async function advance(
-    state: State,
-    entry: Unavailability,
-  ): Promise<State | undefined> {
-    const host = view.hosts.get()?.find(h => h.id === entry.hostId);
-    if (!host) return state;
-    if (entry.state === HostState.Draining) return drain(state, entry, host);
-    if (entry.state === HostState.Rebooting) return reboot(state, entry, host);
-    return state;
+  /** Tells whether a newer leader is known to have taken over. */
+  function isSuperseded(): boolean {
+    return (view.getRecord(pool)?.term ?? 0) > term;
   }
 
-  async function drain(
-    state: State,
-    entry: Unavailability,
-    host: Host,
-  ): Promise<State | undefined> {
-    await workers.setDraining(host, true);
-    const report = await workers.report(host);
-    if (report.isErr || !report.value.draining) return state;
-    if (report.value.slotsUsed > 0) return state;
-    const rebooting = {...entry, state: HostState.Rebooting as const};
-    const saved = await save(state, replaceEntry(state, rebooting));
-    if (!saved) return undefined;
-    telemetry.decide({
-      kind: DecisionKind.Reboot,
-      subject: host.id,
-      pool,
-      cause: `${host.id} is empty and reboots`,
-      inputs: {term},
-    });
-    await workers.reboot(host);
-    return saved;
-  }
-
-  async function reboot(
-    state: State,
-    entry: Unavailability,
-    host: Host,
-  ): Promise<State | undefined> {
-    const report = await workers.report(host);
-    if (report.isErr) return state;
-    if (report.value.draining) {
-      await workers.reboot(host);
-      return state;
-    }
-    if (!(await completeMaintenance(entry))) return state;
-    const saved = await save(
-      state,
-      state.record.unavailable.filter(u => u.hostId !== host.id),
-    );
-    telemetry.decide({
-      kind: DecisionKind.Return,
-      subject: host.id,
-      pool,
-      cause: `${host.id} is back after maintenance`,
-      inputs: {term, boot: report.value.bootNumber},
-    });
-    return saved;
+  function requestReview(): void {
+    if (reviewQueued) return;
+    reviewQueued = true;
+    actor.tell({kind: MessageKind.Review});
   }
 
-  async function completeMaintenance(entry: Unavailability): Promise<boolean> {
-    const known = view.assignments.entries.get().get(`hosts/${entry.hostId}`);
-    if (!known) return true;
-    const waveIds = entry.waveId ? [entry.waveId] : [];
-    return assign(
-      {
-        ...known.value,
-        lastMaintainedAt: Date.now(),
-        completedWaves: [...known.value.completedWaves, ...waveIds],
-      },
-      known.version,
+  function tick(): void {
+    const inMotion = view.getRecord(pool)?.unavailable ?? [];
+    probes.probeDue(
+      view.getListed(pool),
+      new Set(inMotion.map(entry => entry.hostId)),
     );
+    if (ticks % REVIEW_TICKS === 0) requestReview();
+    ticks += 1;
   }
 
-  async function finishWaves(): Promise<void> {
-    const hosts = view.hosts.get();
-    if (!hosts || !view.assignments.synced.get()) return;
-    const listed = new Set(hosts.map(host => host.id));
-    const assigned = view.getAssignments();
-    for (const {key: waveKey, version, value} of view.waves.entries
-      .get()
-      .values()) {
-      if (value.state !== WaveState.Active) continue;
-      if (!isComplete(value, listed, assigned)) continue;
-      const done: Wave = {
-        ...value,
-        state: WaveState.Done,
-        cause: 'every host has been through maintenance',
-      };
-      const written = await write(store, {
-        key: waveKey,
-        expectedVersion: version,
-        value: JSON.stringify(done),
-      });
-      if (written.outcome !== WriteOutcome.Written) continue;
-      view.waves.accept(waveKey, written.version, done);
-    }
-  }
-
-  const ticker = createTicker(REVIEW_MS, () => actor.tell('review'));
+  const ticker = createTicker(TICK_MS, tick);
+  const stopFollowing = view.waves.entries.onChange(requestReview);
 
   return {
+    quarantine: (hostId, cause) =>
+      actor.ask(reply => ({
+        kind: MessageKind.Quarantine,
+        quarantine: {hostId, cause},
+        reply,
+      })),
     dispose() {
       ticker.dispose();
+      stopFollowing();
       actor.dispose();
     },
   };
 }
-
-function replaceEntry(
-  state: State,
-  entry: Unavailability,
-): readonly Unavailability[] {
-  return state.record.unavailable.map(known =>
-    known.hostId === entry.hostId ? entry : known,
-  );
-}
-
-function isComplete(
-  wave: Wave,
-  listed: ReadonlySet<string>,
-  assigned: ReadonlyMap<string, HostAssignment>,
-): boolean {
-  return wave.hostIds.every(
-    hostId =>
-      !listed.has(hostId) ||
-      assigned.get(hostId)?.completedWaves.includes(wave.id),
-  );
-}
--- /dev/null
+++ b/src/actors/fleet/quarantine.ts
@@ -0,0 +1,69 @@
+import {Result} from 'true-myth';
+import {spendBudget} from '../../decisions/fleet';
+import {WriteOutcome} from '../../state';
+import {Telemetry} from '../../telemetry';
+import {
+  DecisionKind,
+  HostState,
+  Profile,
+  RefusalReason,
+  Unavailability,
+} from '../../types';
+import {Ledger, LedgerStore} from './ledger_store';
+
+/** A host to take out of service, with the reason. */
+export interface Quarantine {
+  readonly hostId: string;
+  readonly cause: string;
+}
+
+/** What a quarantine is recorded with. */
+export interface QuarantineInputs {
+  readonly ledger: Ledger;
+  readonly ledgers: LedgerStore;
+  readonly profile: Profile;
+  readonly quarantine: Quarantine;
+  readonly telemetry: Telemetry;
+}
+
+/** The outcome of a quarantine; without a ledger it has to be read again. */
+export interface QuarantineOutcome {
+  readonly ledger?: Ledger;
+  readonly result: Result<Unavailability, RefusalReason>;
+}
+
+/** Records a quarantine in one swap if the budget holds afterwards. */
+export async function addQuarantine(
+  inputs: QuarantineInputs,
+): Promise<QuarantineOutcome> {
+  const {ledger, ledgers, profile, quarantine, telemetry} = inputs;
+  const {hostId, cause} = quarantine;
+  const known = ledger.record.unavailable.find(e => e.hostId === hostId);
+  if (known?.state === HostState.Quarantined) {
+    return {ledger, result: Result.ok(known)};
+  }
+  const entry: Unavailability = {
+    hostId,
+    state: HostState.Quarantined,
+    since: Date.now(),
+    cause,
+  };
+  const others = ledger.record.unavailable.filter(e => e.hostId !== hostId);
+  const spent = known
+    ? [...others, entry]
+    : spendBudget(others, [entry], profile.maxUnavailable);
+  if (!spent) return {ledger, result: Result.err(RefusalReason.BudgetSpent)};
+  const saved = await ledgers.save(ledger, spent, profile.maxUnavailable);
+  if (saved.outcome === WriteOutcome.Unavailable) {
+    return {ledger, result: Result.err(RefusalReason.StoreUnavailable)};
+  }
+  if (!saved.ledger) return {result: Result.err(RefusalReason.OutcomeUnknown)};
+  telemetry.decide({
+    kind: DecisionKind.Quarantine,
+    subject: hostId,
+    pool: profile.pool,
+    cause,
+    inputs: {unavailable: spent.length, budget: profile.maxUnavailable},
+  });
+  return {ledger: saved.ledger, result: Result.ok(entry)};
+}
--- /dev/null
+++ b/src/actors/fleet/wave_keeper.ts
@@ -0,0 +1,93 @@
+import {randomUUID} from 'node:crypto';
+import {reviewWave} from '../../decisions/fleet';
+import {Store} from '../../ports';
+import {MirrorEntry, WriteOutcome, write} from '../../state';
+import {Telemetry} from '../../telemetry';
+import {DecisionKind, Wave, WaveState} from '../../types';
+import {FleetView} from './fleet_view';
+
+/** Finishes, pauses and forgets the waves that a pool's leader looks after. */
+export interface WaveKeeper {
+  review(): Promise<void>;
+}
+
+/** Where the keeper gets what it needs. */
+export interface WaveKeeperOptions {
+  readonly store: Store;
+  readonly view: FleetView;
+  readonly telemetry: Telemetry;
+  readonly pool: string;
+}
+
+/** Time for which an ended wave is kept, in ms. */
+const KEEP_MS = 7 * 86_400_000;
+/** Ended waves that are kept. */
+const KEPT_WAVES = 50;
+
+/** Creates the keeper of the waves whose first host is in the pool. */
+export function createWaveKeeper(options: WaveKeeperOptions): WaveKeeper {
+  const {store, view, telemetry, pool} = options;
+
+  function isMine(wave: Wave): boolean {
+    const assignments = view.getAssignments();
+    const first = wave.hostIds.find(hostId => assignments.has(hostId));
+    return first === undefined || assignments.get(first)?.pool === pool;
+  }
+
+  async function reviewOne(entry: MirrorEntry<Wave>): Promise<void> {
+    const next = reviewWave({
+      wave: entry.value,
+      assignments: view.getAssignments(),
+      listed: new Set(view.hosts.get()?.map(host => host.id)),
+      records: [...view.records.entries.get().values()].map(e => e.value),
+    });
+    if (!next) return;
+    const ended = next.state === WaveState.Done;
+    const wave: Wave = {
+      ...next,
+      operationId: randomUUID(),
+      endedAt: ended ? Date.now() : undefined,
+    };
+    const written = await write(store, {
+      key: entry.key,
+      expectedVersion: entry.version,
+      value: JSON.stringify(wave),
+    });
+    if (written.outcome !== WriteOutcome.Written) return;
+    view.waves.accept(entry.key, written.version, wave);
+    telemetry.decide({
+      kind: ended ? DecisionKind.Finish : DecisionKind.Hold,
+      subject: wave.id,
+      pool,
+      cause: wave.cause,
+      inputs: {hosts: wave.hostIds.length},
+    });
+  }
+
+  async function prune(): Promise<void> {
+    const ended = [...view.waves.entries.get().values()]
+      .filter(entry => entry.value.endedAt !== undefined)
+      .sort((a, b) => (b.value.endedAt ?? 0) - (a.value.endedAt ?? 0));
+    const oldest = Date.now() - KEEP_MS;
+    const stale = ended.filter(
+      ({value}, i) => i >= KEPT_WAVES || (value.endedAt ?? 0) < oldest,
+    );
+    for (const {key, version, value} of stale) {
+      if (!isMine(value)) continue;
+      const swap = {key, expectedVersion: version, value: undefined};
+      const {outcome} = await write(store, swap);
+      if (outcome !== WriteOutcome.Written) continue;
+      view.waves.accept(key, version + 1, undefined);
+    }
+  }
+
+  return {
+    async review() {
+      for (const entry of [...view.waves.entries.get().values()]) {
+        if (entry.value.state !== WaveState.Active) continue;
+        if (isMine(entry.value)) await reviewOne(entry);
+      }
+      await prune();
+    },
+  };
+}
--- a/src/actors/fleet/waves.ts
+++ b/src/actors/fleet/waves.ts
@@ -1,9 +1,16 @@
 import {randomUUID} from 'node:crypto';
 import {Result} from 'true-myth';
-import {selectHosts} from '../../decisions/fleet';
+import {
+  WavePlan,
+  WaveProgress,
+  explainBudget,
+  findProgress,
+  planWave,
+  selectHosts,
+} from '../../decisions/fleet';
 import {Store} from '../../ports';
 import {WriteOutcome, write} from '../../state';
-import {RefusalReason, Selector, Wave, WaveState} from '../../types';
+import {Profile, RefusalReason, Selector, Wave, WaveState} from '../../types';
 import {FleetView} from './fleet_view';
 
 /** What an operator declares. */
@@ -15,10 +22,22 @@
   readonly dueAt: number;
 }
 
+/** A wave with how far it has come and what it waits for. */
+export interface WaveExplanation {
+  readonly wave: Wave;
+  readonly progress: WaveProgress;
+  readonly explanation: readonly string[];
+}
+
 /** Operators' calls about maintenance waves. */
 export interface Waves {
   declare(declaration: WaveDeclaration): Promise<Result<Wave, RefusalReason>>;
+  /** Returns what a wave would take without declaring it. */
+  plan(selector: Selector): Result<WavePlan, RefusalReason>;
   cancel(id: string): Promise<Result<Wave, RefusalReason>>;
+  /** Makes a paused wave go on, whatever hosts it has lost. */
+  resume(id: string): Promise<Result<Wave, RefusalReason>>;
+  explain(id: string): Result<WaveExplanation, RefusalReason>;
   list(): readonly Wave[];
 }
 
@@ -27,22 +46,28 @@
  *
  * @param store the key-value service
  * @param view the fleet as this member knows it
+ * @param getProfiles returns the profiles in force
  */
-export function createWaves(store: Store, view: FleetView): Waves {
+export function createWaves(
+  store: Store,
+  view: FleetView,
+  getProfiles: () => readonly Profile[] = () => [],
+): Waves {
   async function save(
     wave: Wave,
     version: number,
   ): Promise<Result<Wave, RefusalReason>> {
     const key = `waves/${wave.id}`;
+    const value: Wave = {...wave, operationId: randomUUID()};
     const written = await write(store, {
       key,
       expectedVersion: version,
-      value: JSON.stringify(wave),
+      value: JSON.stringify(value),
     });
     switch (written.outcome) {
       case WriteOutcome.Written:
-        view.waves.accept(key, written.version, wave);
-        return Result.ok(wave);
+        view.waves.accept(key, written.version, value);
+        return Result.ok(value);
       case WriteOutcome.Conflict:
         return Result.err(RefusalReason.Conflict);
       case WriteOutcome.Unavailable:
@@ -52,10 +77,50 @@
     }
   }
 
+  function select(selector: Selector): readonly string[] {
+    const hosts = view.hosts.get() ?? [];
+    return selectHosts(selector, hosts, view.getAssignments());
+  }
+
+  async function change(
+    id: string,
+    from: readonly WaveState[],
+    next: (wave: Wave) => Wave,
+  ): Promise<Result<Wave, RefusalReason>> {
+    const known = view.waves.entries.get().get(`waves/${id}`);
+    if (!known) return Result.err(RefusalReason.NotFound);
+    if (!from.includes(known.value.state)) {
+      return Result.err(RefusalReason.Conflict);
+    }
+    return save(next(known.value), known.version);
+  }
+
+  function progressOf(wave: Wave): WaveProgress {
+    return findProgress({
+      wave,
+      assignments: view.getAssignments(),
+      listed: new Set(view.hosts.get()?.map(host => host.id)),
+      records: [...view.records.entries.get().values()].map(e => e.value),
+    });
+  }
+
+  function explainPools(wave: Wave): readonly string[] {
+    const pools = new Set(
+      wave.hostIds.map(hostId => view.getAssignments().get(hostId)?.pool),
+    );
+    const lines: string[] = [];
+    for (const pool of pools) {
+      if (pool === undefined) continue;
+      const profile = getProfiles().find(known => known.pool === pool);
+      const budget = explainBudget(profile, view.getRecord(pool));
+      lines.push(...budget.map(line => `${pool}: ${line}`));
+    }
+    return lines;
+  }
+
   return {
     async declare({selector, reason, urgent, dueAt}) {
-      const hosts = view.hosts.get() ?? [];
-      const hostIds = selectHosts(selector, hosts, view.getAssignments());
+      const hostIds = select(selector);
       if (hostIds.length === 0) return Result.err(RefusalReason.NotFound);
       return save(
         {
@@ -72,14 +137,42 @@
         0,
       );
     },
-    async cancel(id) {
-      const known = view.waves.entries.get().get(`waves/${id}`);
-      if (!known) return Result.err(RefusalReason.NotFound);
-      return save(
-        {...known.value, state: WaveState.Cancelled, cause: 'cancelled'},
-        known.version,
+    plan(selector) {
+      const hostIds = select(selector);
+      if (hostIds.length === 0) return Result.err(RefusalReason.NotFound);
+      const records = [...view.records.entries.get().values()];
+      return Result.ok(
+        planWave({
+          hostIds,
+          assignments: view.getAssignments(),
+          profiles: getProfiles(),
+          records: new Map(records.map(({value}) => [value.pool, value])),
+        }),
       );
     },
-    list: () => [...view.waves.entries.get().values()].map(e => e.value),
+    cancel: id =>
+      change(id, [WaveState.Active, WaveState.Paused], wave => ({
+        ...wave,
+        state: WaveState.Cancelled,
+        cause: 'cancelled by an operator',
+        endedAt: Date.now(),
+      })),
+    resume: id =>
+      change(id, [WaveState.Paused], wave => ({
+        ...wave,
+        state: WaveState.Active,
+        cause: 'resumed by an operator',
+        acceptedLosses: progressOf(wave).notReturned,
+      })),
+    explain(id) {
+      const wave = view.waves.entries.get().get(`waves/${id}`)?.value;
+      if (!wave) return Result.err(RefusalReason.NotFound);
+      const open =
+        wave.state === WaveState.Active || wave.state === WaveState.Paused;
+      const explanation = [`it is ${wave.state}: ${wave.cause}`];
+      if (open) explanation.push(...explainPools(wave));
+      return Result.ok({wave, progress: progressOf(wave), explanation});
+    },
+    list: view.listWaves,
   };
 }
--- a/src/adapters/worker/http_workers.ts
+++ b/src/adapters/worker/http_workers.ts
@@ -126,7 +126,8 @@
       }),
     setDraining: (host, draining) =>
       control<void>(host, 'POST', '/draining', {draining}),
-    reboot: host => control<void>(host, 'POST', '/reboot', {}),
+    reboot: (host, bootNumber) =>
+      control<void>(host, 'POST', '/reboot', {bootNumber}),
     dispose() {
       for (const {requests, control} of connections.values()) {
         void requests.destroy();
--- /dev/null
+++ b/src/decisions/fleet/explain_host.ts
@@ -0,0 +1,62 @@
+import {HostAssignment, HostState, PoolRecord, Profile} from '../../types';
+import {Wave, WaveState} from '../../types';
+import {isWanted} from './next_drains';
+
+/** What the explanation of a host rests on. */
+export interface HostExplanationInputs {
+  readonly now: number;
+  readonly hostId: string;
+  readonly assignment?: HostAssignment;
+  readonly profile?: Profile;
+  readonly record?: PoolRecord;
+  readonly waves: readonly Wave[];
+}
+
+/**
+ * Explains in sentences why a host is in its state and what it waits for.
+ *
+ * @param inputs what this member knows of the host and its pool
+ */
+export function explainHost(inputs: HostExplanationInputs): readonly string[] {
+  const {hostId, assignment, profile, record} = inputs;
+  if (!assignment) return [`${hostId} belongs to no pool yet`];
+  const entry = record?.unavailable.find(known => known.hostId === hostId);
+  const lines = [`${hostId} belongs to ${assignment.pool}`];
+  if (entry) {
+    const seconds = Math.round((inputs.now - entry.since) / 1_000);
+    lines.push(`it has been ${entry.state} for ${seconds} s: ${entry.cause}`);
+    if (entry.state === HostState.Draining) {
+      lines.push('it reboots once its requests and long work have ended');
+    }
+    return lines;
+  }
+  const wanting = inputs.waves.filter(wave =>
+    isWanted(wave, hostId, assignment),
+  );
+  for (const wave of wanting) lines.push(`${wave.id} will drain it`);
+  for (const wave of inputs.waves) {
+    if (wave.state !== WaveState.Paused) continue;
+    if (!wave.hostIds.includes(hostId)) continue;
+    if (assignment.completedWaves.includes(wave.id)) continue;
+    lines.push(`${wave.id} is paused: ${wave.cause}`);
+  }
+  if (wanting.length > 0) lines.push(...explainBudget(profile, record));
+  return lines;
+}
+
+/** Explains what consumes a pool's budget. */
+export function explainBudget(
+  profile: Profile | undefined,
+  record: PoolRecord | undefined,
+): readonly string[] {
+  if (!profile) return ['its pool has no profile in force'];
+  if (!record) return ['its pool has had no leader yet'];
+  const used = record.unavailable.length;
+  const budget = profile.maxUnavailable;
+  if (budget === 0) return ['the profile allows no host to be unavailable'];
+  const head = `${used} of ${budget} hosts of the budget are used`;
+  const causes = record.unavailable.map(
+    entry => `${entry.hostId} is ${entry.state}: ${entry.cause}`,
+  );
+  return [head, ...causes];
+}
--- /dev/null
+++ b/src/decisions/fleet/host_review.ts
@@ -0,0 +1,193 @@
+import {
+  DecisionKind,
+  Host,
+  HostAssignment,
+  HostState,
+  Unavailability,
+} from '../../types';
+import {isOwnDecision} from './budget';
+import {Observation, isEmpty, isFailed, isSteady} from './observation';
+
+/** What the review of one host rests on. */
+export interface HostInputs {
+  readonly hostId: string;
+  readonly now: number;
+  /** The host as listed; undefined if the list no longer holds it. */
+  readonly host?: Host;
+  readonly assignment: HostAssignment;
+  readonly entry?: Unavailability;
+  readonly observation?: Observation;
+  /** True while a wave or the rotation still wants the host drained. */
+  readonly wanted: boolean;
+  /** True once the finished maintenance is recorded with the host. */
+  readonly maintained: boolean;
+  readonly rebootLimitMs: number;
+}
+
+/** A change of a host's state. */
+export interface HostChange {
+  readonly hostId: string;
+  readonly kind: DecisionKind;
+  readonly cause: string;
+  readonly from: HostState;
+  /** New ledger entry; undefined puts the host back into service. */
+  readonly entry?: Unavailability;
+}
+
+/**
+ * Finds the next state of one host.
+ *
+ * @param inputs what the list, the probes and the ledger say
+ * @returns the change, or undefined if the state stays
+ */
+export function reviewHost(inputs: HostInputs): HostChange | undefined {
+  switch (inputs.entry?.state) {
+    case undefined:
+      return findLoss(inputs);
+    case HostState.Draining:
+      return findLoss(inputs) ?? reviewDrain(inputs, inputs.entry);
+    case HostState.Moving:
+      return findLoss(inputs);
+    case HostState.Rebooting:
+      return reviewReboot(inputs, inputs.entry);
+    case HostState.Quarantined:
+      return reviewQuarantine(inputs, inputs.entry);
+    case HostState.Failed:
+    case HostState.Missing:
+      return reviewLost(inputs, inputs.entry);
+    case HostState.Leaving:
+      return reviewLeaving(inputs);
+  }
+}
+
+function findLoss(inputs: HostInputs): HostChange | undefined {
+  const {host, observation, hostId, now} = inputs;
+  if (!host) {
+    return lose(inputs, HostState.Missing, 'is gone from the host list');
+  }
+  if (host.leaving) {
+    return lose(inputs, HostState.Leaving, 'leaves by the host list');
+  }
+  if (observation?.leaving) {
+    return lose(inputs, HostState.Leaving, 'says that it leaves');
+  }
+  if (observation && isFailed(observation, now)) {
+    const cause = `failed ${observation.failures} probes in a row`;
+    return lose(inputs, HostState.Failed, cause);
+  }
+  if (hostId !== host.id) throw new Error(`${hostId} is listed as ${host.id}`);
+  return undefined;
+}
+
+function reviewDrain(
+  inputs: HostInputs,
+  entry: Unavailability,
+): HostChange | undefined {
+  const {observation, now} = inputs;
+  if (!inputs.wanted) return putBack(inputs, 'its wave no longer needs it');
+  if (!observation || !isEmpty(observation, now)) return undefined;
+  return {
+    hostId: inputs.hostId,
+    kind: DecisionKind.Reboot,
+    cause: `${inputs.hostId} is empty and reboots`,
+    from: entry.state,
+    entry: {
+      ...entry,
+      state: HostState.Rebooting,
+      bootNumber: observation.bootNumber,
+      rebootAt: now,
+    },
+  };
+}
+
+function reviewReboot(
+  inputs: HostInputs,
+  entry: Unavailability,
+): HostChange | undefined {
+  if (hasRebooted(entry, inputs.observation)) {
+    if (!inputs.maintained) return undefined;
+    return putBack(inputs, 'is back after maintenance');
+  }
+  const waitedMs = inputs.now - (entry.rebootAt ?? entry.since);
+  if (waitedMs < inputs.rebootLimitMs) return undefined;
+  const cause = `did not return from its reboot within ${inputs.rebootLimitMs} ms`;
+  return lose(inputs, HostState.Failed, cause);
+}
+
+function reviewQuarantine(
+  inputs: HostInputs,
+  entry: Unavailability,
+): HostChange | undefined {
+  const releasedAt = inputs.assignment.releasedAt ?? 0;
+  if (releasedAt < entry.since) return undefined;
+  return putBack(inputs, 'was released by an operator');
+}
+
+function reviewLost(
+  inputs: HostInputs,
+  entry: Unavailability,
+): HostChange | undefined {
+  const {host, observation, now} = inputs;
+  if (!host) {
+    if (entry.state === HostState.Missing) return undefined;
+    return lose(inputs, HostState.Missing, 'is gone from the host list');
+  }
+  if (host.leaving || observation?.leaving) {
+    return lose(inputs, HostState.Leaving, 'leaves');
+  }
+  if (!observation || !isSteady(observation, now)) return undefined;
+  if (hasRebooted(entry, observation) && !inputs.maintained) return undefined;
+  return putBack(inputs, 'answers its probes again');
+}
+
+function reviewLeaving(inputs: HostInputs): HostChange | undefined {
+  const {host, observation, now} = inputs;
+  if (!host || host.leaving || !observation || observation.leaving) {
+    return undefined;
+  }
+  if (!isSteady(observation, now)) return undefined;
+  return putBack(inputs, 'no longer leaves');
+}
+
+/** Tells whether a host has come back from the reboot that its entry names. */
+export function hasRebooted(
+  entry: Unavailability,
+  observation: Observation | undefined,
+): boolean {
+  if (!observation?.reachable || entry.bootNumber === undefined) return false;
+  return observation.bootNumber > entry.bootNumber;
+}
+
+function lose(
+  inputs: HostInputs,
+  state: HostState.Failed | HostState.Missing | HostState.Leaving,
+  why: string,
+): HostChange {
+  const {hostId, now, entry} = inputs;
+  const cause = `${hostId} ${why}`;
+  return {
+    hostId,
+    kind: DecisionKind.Eject,
+    cause,
+    from: entry?.state ?? HostState.Active,
+    entry: {
+      hostId,
+      state,
+      since: entry && !isOwnDecision(entry) ? entry.since : now,
+      cause,
+      waveId: entry?.waveId,
+      bootNumber: entry?.bootNumber,
+      rebootAt: entry?.rebootAt,
+    },
+  };
+}
+
+function putBack(inputs: HostInputs, why: string): HostChange {
+  const {hostId, entry} = inputs;
+  return {
+    hostId,
+    kind: DecisionKind.Return,
+    cause: `${hostId} ${why}`,
+    from: entry?.state ?? HostState.Active,
+  };
+}
--- a/src/decisions/fleet/next_drains.ts
+++ b/src/decisions/fleet/next_drains.ts
@@ -1,43 +1,193 @@
-import {HostAssignment, PoolHost, PoolRecord, Profile, Wave} from '../../types';
-import {WaveState} from '../../types';
-import {budgetLeft} from './budget';
+import {Host, HostAssignment, Profile, Unavailability} from '../../types';
+import {Wave, WaveState} from '../../types';
+import {Observation} from './observation';
+import {ROTATION, findRotationTime} from './rotation';
 
 /** What the choice of the next drains rests on. */
 export interface DrainInputs {
+  readonly now: number;
   readonly profile: Profile;
-  readonly record: PoolRecord;
-  readonly hosts: readonly PoolHost[];
+  readonly unavailable: readonly Unavailability[];
+  /** The pool's listed hosts by id. */
+  readonly hosts: ReadonlyMap<string, Host>;
   readonly assignments: ReadonlyMap<string, HostAssignment>;
   readonly waves: readonly Wave[];
+  readonly observations: ReadonlyMap<string, Observation>;
 }
 
-/** A host to drain for a wave. */
+/** A host to drain for a wave or for the rotation. */
 export interface Drain {
   readonly hostId: string;
   readonly waveId: string;
 }
 
+interface Candidate extends Drain {
+  /** Place of its wave in the order of waves. */
+  readonly order: number;
+  readonly host: Host;
+}
+
+/** Hosts that the rotation may take at once; waves may use the whole budget. */
+const ROTATION_LIMIT = 1;
+
 /**
  * Chooses the hosts to drain now, within the budget.
  *
+ * Urgent waves come first, then the earlier due. Within a wave, hosts free of
+ * long work in availability zones and racks that are already affected come
+ * first, so that one failure domain is taken at a time.
+ *
  * @param inputs the pool's state
- * @returns as many drains as the budget allows, urgent waves first
+ * @returns as many drains as the budget allows
  */
 export function chooseDrains(inputs: DrainInputs): readonly Drain[] {
-  const left = budgetLeft(inputs.profile, inputs.record);
+  const left = countLeft(inputs);
   if (left <= 0) return [];
-  const unavailable = new Set(inputs.record.unavailable.map(u => u.hostId));
-  const drains = new Map<string, Drain>();
-  for (const wave of sortWaves(inputs.waves)) {
+  const candidates = listCandidates(inputs);
+  const chosen: Candidate[] = [];
+  while (chosen.length < left && candidates.length > 0) {
+    const best = findBest(candidates, chosen, inputs);
+    if (best < 0) break;
+    chosen.push(candidates[best]);
+    candidates.splice(best, 1);
+  }
+  return chosen.map(({hostId, waveId}) => ({hostId, waveId}));
+}
+
+/**
+ * Lists the hosts that waves will take next, in the order in which they would go.
+ *
+ * New long work is steered away from them, so that their drains are short.
+ *
+ * @param inputs the pool's state
+ * @param limit most hosts to list
+ */
+export function listHostsInLine(
+  inputs: DrainInputs,
+  limit: number,
+): readonly string[] {
+  const chosen: Candidate[] = [];
+  const candidates = listCandidates(inputs);
+  while (chosen.length < limit && candidates.length > 0) {
+    const best = findBest(candidates, chosen, inputs);
+    if (best < 0) break;
+    chosen.push(candidates[best]);
+    candidates.splice(best, 1);
+  }
+  return chosen.map(({hostId}) => hostId);
+}
+
+/** Tells whether a wave still wants a host drained. */
+export function isWanted(
+  wave: Wave,
+  hostId: string,
+  assignment: HostAssignment | undefined,
+): boolean {
+  if (wave.state !== WaveState.Active) return false;
+  if (!wave.hostIds.includes(hostId)) return false;
+  return !assignment?.completedWaves.includes(wave.id);
+}
+
+function countLeft(inputs: DrainInputs): number {
+  const {profile, unavailable, hosts, observations} = inputs;
+  const taken = new Set(unavailable.map(entry => entry.hostId));
+  let suspects = 0;
+  for (const hostId of hosts.keys()) {
+    if (taken.has(hostId)) continue;
+    if (!observations.get(hostId)?.reachable) suspects += 1;
+  }
+  return profile.maxUnavailable - unavailable.length - suspects;
+}
+
+function listCandidates(inputs: DrainInputs): Candidate[] {
+  const candidates = new Map<string, Candidate>();
+  const taken = new Set(inputs.unavailable.map(entry => entry.hostId));
+  sortWaves(inputs.waves).forEach((wave, order) => {
     for (const hostId of wave.hostIds) {
-      if (drains.has(hostId) || unavailable.has(hostId)) continue;
-      if (!inputs.hosts.some(({host}) => host.id === hostId)) continue;
-      const assignment = inputs.assignments.get(hostId);
-      if (!assignment || assignment.completedWaves.includes(wave.id)) continue;
-      drains.set(hostId, {hostId, waveId: wave.id});
+      const host = inputs.hosts.get(hostId);
+      if (!host || taken.has(hostId) || candidates.has(hostId)) continue;
+      if (!isWanted(wave, hostId, inputs.assignments.get(hostId))) continue;
+      candidates.set(hostId, {hostId, waveId: wave.id, order, host});
     }
+  });
+  for (const due of listRotation(inputs, taken)) {
+    if (!candidates.has(due.hostId)) candidates.set(due.hostId, due);
+  }
+  return [...candidates.values()];
+}
+
+function listRotation(
+  inputs: DrainInputs,
+  taken: ReadonlySet<string>,
+): readonly Candidate[] {
+  const due: Candidate[] = [];
+  for (const [hostId, host] of inputs.hosts) {
+    const assignment = inputs.assignments.get(hostId);
+    if (!assignment || taken.has(hostId)) continue;
+    const time = findRotationTime(assignment, inputs.profile);
+    if (time === undefined || time > inputs.now) continue;
+    due.push({hostId, waveId: ROTATION, order: inputs.waves.length, host});
+  }
+  return due;
+}
+
+function findBest(
+  candidates: readonly Candidate[],
+  chosen: readonly Candidate[],
+  inputs: DrainInputs,
+): number {
+  const affected = listAffected(chosen, inputs);
+  const racks = new Set(affected.map(host => host.rack));
+  const zones = new Set(affected.map(host => host.availabilityZone));
+  const rotating = countRotating(chosen, inputs);
+  let best = -1;
+  let bestScore: readonly (number | string)[] = [];
+  candidates.forEach((candidate, i) => {
+    if (candidate.waveId === ROTATION && rotating >= ROTATION_LIMIT) return;
+    const seen = inputs.observations.get(candidate.hostId);
+    const score = [
+      candidate.order,
+      seen && seen.tasks.length > 0 ? 1 : 0,
+      zones.size > 0 && !zones.has(candidate.host.availabilityZone) ? 1 : 0,
+      racks.size > 0 && !racks.has(candidate.host.rack) ? 1 : 0,
+      seen?.slotsUsed ?? 0,
+      candidate.host.rack,
+      candidate.hostId,
+    ];
+    if (best >= 0 && !isBefore(score, bestScore)) return;
+    best = i;
+    bestScore = score;
+  });
+  return best;
+}
+
+function listAffected(
+  chosen: readonly Candidate[],
+  inputs: DrainInputs,
+): readonly Host[] {
+  const known = inputs.unavailable
+    .map(entry => inputs.hosts.get(entry.hostId))
+    .filter(host => host !== undefined);
+  return [...known, ...chosen.map(candidate => candidate.host)];
+}
+
+function countRotating(
+  chosen: readonly Candidate[],
+  inputs: DrainInputs,
+): number {
+  const now = inputs.unavailable.filter(entry => entry.waveId === ROTATION);
+  const next = chosen.filter(candidate => candidate.waveId === ROTATION);
+  return now.length + next.length;
+}
+
+function isBefore(
+  a: readonly (number | string)[],
+  b: readonly (number | string)[],
+): boolean {
+  for (let i = 0; i < a.length; i += 1) {
+    if (a[i] !== b[i]) return a[i] < b[i];
   }
-  return [...drains.values()].slice(0, left);
+  return false;
 }
 
 function sortWaves(waves: readonly Wave[]): readonly Wave[] {
--- /dev/null
+++ b/src/decisions/fleet/plan_wave.ts
@@ -0,0 +1,126 @@
+import {HostAssignment, PoolRecord, Profile} from '../../types';
+
+/** What a wave would take from one pool. */
+export interface PoolPlan {
+  readonly pool: string;
+  readonly hosts: number;
+  readonly budget: number;
+  /** Hosts unavailable now, which the budget counts too. */
+  readonly unavailable: number;
+  /** Expected length of one drain and reboot, in ms. */
+  readonly maintenanceMs: number;
+  /** Shortest possible roll-out: ceil(hosts / budget) x (drain + reboot), in ms. */
+  readonly lowerBoundMs: number;
+  /** Expected roll-out with the budget that is left now, in ms. */
+  readonly expectedMs: number;
+}
+
+/** What a wave would take before it is declared. */
+export interface WavePlan {
+  readonly hostIds: readonly string[];
+  readonly pools: readonly PoolPlan[];
+  /** Longest of the pools' times, in ms; pools roll out side by side. */
+  readonly lowerBoundMs: number;
+  readonly expectedMs: number;
+  /** Why the wave could not end, if so. */
+  readonly obstacles: readonly string[];
+}
+
+/** What a plan rests on. */
+export interface PlanInputs {
+  readonly hostIds: readonly string[];
+  readonly assignments: ReadonlyMap<string, HostAssignment>;
+  readonly profiles: readonly Profile[];
+  readonly records: ReadonlyMap<string, PoolRecord>;
+}
+
+/** Length of a drain and reboot where none has been measured, in ms. */
+const DEFAULT_MAINTENANCE_MS = 120_000;
+
+/**
+ * Plans a wave without declaring it.
+ *
+ * @param inputs the hosts and the state of their pools
+ */
+export function planWave(inputs: PlanInputs): WavePlan {
+  const hostsByPool = groupByPool(inputs);
+  const pools: PoolPlan[] = [];
+  const obstacles: string[] = [];
+  for (const [pool, hostIds] of hostsByPool) {
+    const profile = inputs.profiles.find(known => known.pool === pool);
+    if (!profile) {
+      obstacles.push(`${pool} has no profile`);
+      continue;
+    }
+    if (profile.maxUnavailable === 0) {
+      obstacles.push(`${pool} allows no host to be unavailable`);
+    }
+    pools.push(planPool(inputs, profile, hostIds));
+  }
+  return {
+    hostIds: inputs.hostIds,
+    pools,
+    lowerBoundMs: Math.max(0, ...pools.map(pool => pool.lowerBoundMs)),
+    expectedMs: Math.max(0, ...pools.map(pool => pool.expectedMs)),
+    obstacles,
+  };
+}
+
+function groupByPool(inputs: PlanInputs): Map<string, string[]> {
+  const groups = new Map<string, string[]>();
+  for (const hostId of inputs.hostIds) {
+    const pool = inputs.assignments.get(hostId)?.pool;
+    if (pool === undefined) continue;
+    const group = groups.get(pool);
+    if (group) group.push(hostId);
+    else groups.set(pool, [hostId]);
+  }
+  return groups;
+}
+
+function planPool(
+  inputs: PlanInputs,
+  profile: Profile,
+  hostIds: readonly string[],
+): PoolPlan {
+  const record = inputs.records.get(profile.pool);
+  const others = record?.unavailable.filter(entry => !entry.waveId) ?? [];
+  const maintenanceMs = estimateMaintenance(inputs, profile.pool);
+  const budget = profile.maxUnavailable;
+  const left = budget - others.length;
+  return {
+    pool: profile.pool,
+    hosts: hostIds.length,
+    budget,
+    unavailable: record?.unavailable.length ?? 0,
+    maintenanceMs,
+    lowerBoundMs: findLowerBound(hostIds.length, budget, maintenanceMs),
+    expectedMs: findLowerBound(hostIds.length, left, maintenanceMs),
+  };
+}
+
+/**
+ * Finds the shortest possible roll-out of a pool, in ms.
+ *
+ * @param hosts hosts to maintain
+ * @param budget hosts that may be unavailable at once; at least 1 is assumed
+ * @param maintenanceMs length of one drain and reboot
+ */
+export function findLowerBound(
+  hosts: number,
+  budget: number,
+  maintenanceMs: number,
+): number {
+  return Math.ceil(hosts / Math.max(1, budget)) * maintenanceMs;
+}
+
+function estimateMaintenance(inputs: PlanInputs, pool: string): number {
+  const known: number[] = [];
+  for (const assignment of inputs.assignments.values()) {
+    if (assignment.pool !== pool) continue;
+    if (assignment.maintenanceMs) known.push(assignment.maintenanceMs);
+  }
+  if (known.length === 0) return DEFAULT_MAINTENANCE_MS;
+  known.sort((a, b) => a - b);
+  return known[Math.floor(known.length / 2)];
+}
--- /dev/null
+++ b/src/decisions/fleet/review_ledger.ts
@@ -0,0 +1,209 @@
+import {
+  DecisionKind,
+  Host,
+  HostAssignment,
+  HostState,
+  Profile,
+  Unavailability,
+  Wave,
+} from '../../types';
+import {spendBudget} from './budget';
+import {Move} from './choose_move';
+import {HostChange, reviewHost} from './host_review';
+import {chooseDrains, isWanted} from './next_drains';
+import {Observation, isFailed} from './observation';
+import {ROTATION} from './rotation';
+
+/** What one review of a pool's ledger rests on. */
+export interface LedgerInputs {
+  readonly now: number;
+  readonly profile: Profile;
+  readonly unavailable: readonly Unavailability[];
+  /** The pool's listed hosts by id. */
+  readonly hosts: ReadonlyMap<string, Host>;
+  /** Assignments of the pool's hosts by id, listed or not. */
+  readonly assignments: ReadonlyMap<string, HostAssignment>;
+  readonly waves: readonly Wave[];
+  readonly observations: ReadonlyMap<string, Observation>;
+  readonly rebootLimitMs: number;
+  /** Move that is called for, if the budget allows it. */
+  readonly move?: Move;
+}
+
+/** The ledger after a review, with what was decided. */
+export interface LedgerReview {
+  readonly unavailable: readonly Unavailability[];
+  readonly changes: readonly HostChange[];
+}
+
+/**
+ * Finds the next ledger of a pool.
+ *
+ * Losses are recorded whatever the budget. If they exceed it, hosts that are
+ * only being drained return. What is left of the budget is spent on a move and
+ * on drains, so that one write frees and spends it at once.
+ *
+ * @param inputs everything that the leader knows
+ */
+export function reviewLedger(inputs: LedgerInputs): LedgerReview {
+  const changes: HostChange[] = [];
+  let unavailable = dropForeign(inputs, changes);
+  unavailable = reviewHosts(inputs, unavailable, changes);
+  unavailable = returnDrains(inputs, unavailable, changes);
+  unavailable = startMove(inputs, unavailable, changes);
+  unavailable = startDrains(inputs, unavailable, changes);
+  return {unavailable, changes};
+}
+
+function dropForeign(
+  inputs: LedgerInputs,
+  changes: HostChange[],
+): readonly Unavailability[] {
+  return inputs.unavailable.filter(entry => {
+    if (inputs.assignments.has(entry.hostId)) return true;
+    changes.push({
+      hostId: entry.hostId,
+      kind: DecisionKind.Return,
+      cause: `${entry.hostId} is no longer in ${inputs.profile.pool}`,
+      from: entry.state,
+    });
+    return false;
+  });
+}
+
+function reviewHosts(
+  inputs: LedgerInputs,
+  unavailable: readonly Unavailability[],
+  changes: HostChange[],
+): readonly Unavailability[] {
+  const entries = new Map(unavailable.map(entry => [entry.hostId, entry]));
+  const isolated = isIsolated(inputs);
+  for (const [hostId, assignment] of inputs.assignments) {
+    const entry = entries.get(hostId);
+    const change = reviewHost({
+      hostId,
+      now: inputs.now,
+      host: inputs.hosts.get(hostId),
+      assignment,
+      entry,
+      observation: isolated ? undefined : inputs.observations.get(hostId),
+      wanted: isDrainWanted(inputs, entry, assignment),
+      maintained: isMaintained(entry, assignment),
+      rebootLimitMs: inputs.rebootLimitMs,
+    });
+    if (!change) continue;
+    changes.push(change);
+    if (change.entry) entries.set(hostId, change.entry);
+    else entries.delete(hostId);
+  }
+  return [...entries.values()];
+}
+
+/** Tells whether every host is out of reach, which more likely means the leader itself is. */
+function isIsolated({hosts, observations, now}: LedgerInputs): boolean {
+  if (hosts.size < 2) return false;
+  return [...hosts.keys()].every(hostId => {
+    const seen = observations.get(hostId);
+    return seen !== undefined && isFailed(seen, now);
+  });
+}
+
+function isDrainWanted(
+  inputs: LedgerInputs,
+  entry: Unavailability | undefined,
+  assignment: HostAssignment,
+): boolean {
+  if (!entry || entry.waveId === ROTATION) return true;
+  return inputs.waves.some(wave => isWanted(wave, entry.hostId, assignment));
+}
+
+function isMaintained(
+  entry: Unavailability | undefined,
+  {lastMaintainedAt}: HostAssignment,
+): boolean {
+  return entry?.rebootAt !== undefined && lastMaintainedAt >= entry.rebootAt;
+}
+
+function returnDrains(
+  inputs: LedgerInputs,
+  unavailable: readonly Unavailability[],
+  changes: HostChange[],
+): readonly Unavailability[] {
+  let over = unavailable.length - inputs.profile.maxUnavailable;
+  if (over <= 0) return unavailable;
+  const returned = new Set<string>();
+  const newestFirst = [...unavailable].sort((a, b) => b.since - a.since);
+  for (const entry of newestFirst) {
+    if (over <= 0) break;
+    const draining =
+      entry.state === HostState.Draining || entry.state === HostState.Moving;
+    const seen = inputs.observations.get(entry.hostId);
+    if (!draining || !seen?.reachable) continue;
+    over -= 1;
+    returned.add(entry.hostId);
+    changes.push({
+      hostId: entry.hostId,
+      kind: DecisionKind.Return,
+      cause: `${entry.hostId} returns before its reboot: losses exceed the budget`,
+      from: entry.state,
+    });
+  }
+  return unavailable.filter(entry => !returned.has(entry.hostId));
+}
+
+function startMove(
+  inputs: LedgerInputs,
+  unavailable: readonly Unavailability[],
+  changes: HostChange[],
+): readonly Unavailability[] {
+  const {move, now} = inputs;
+  if (!move || !inputs.observations.get(move.hostId)?.reachable) {
+    return unavailable;
+  }
+  const entry: Unavailability = {
+    hostId: move.hostId,
+    state: HostState.Moving,
+    since: now,
+    movesTo: move.to,
+    cause: `${move.hostId} moves to ${move.to}: ${move.cause}`,
+  };
+  const budget = inputs.profile.maxUnavailable;
+  const spent = spendBudget(unavailable, [entry], budget);
+  if (!spent) return unavailable;
+  changes.push({
+    hostId: move.hostId,
+    kind: DecisionKind.Move,
+    cause: entry.cause,
+    from: HostState.Active,
+    entry,
+  });
+  return spent;
+}
+
+function startDrains(
+  inputs: LedgerInputs,
+  unavailable: readonly Unavailability[],
+  changes: HostChange[],
+): readonly Unavailability[] {
+  const drains = chooseDrains({...inputs, unavailable});
+  const added = drains.map(({hostId, waveId}) => ({
+    hostId,
+    waveId,
+    state: HostState.Draining as const,
+    since: inputs.now,
+    cause: `${hostId} is drained for ${waveId}`,
+  }));
+  if (added.length === 0) return unavailable;
+  const spent = spendBudget(unavailable, added, inputs.profile.maxUnavailable);
+  if (!spent) return unavailable;
+  for (const entry of added) {
+    changes.push({
+      hostId: entry.hostId,
+      kind: DecisionKind.Drain,
+      cause: entry.cause,
+      from: HostState.Active,
+      entry,
+    });
+  }
+  return spent;
+}
--- /dev/null
+++ b/src/decisions/fleet/wave_state.ts
@@ -0,0 +1,85 @@
+import {
+  HostAssignment,
+  HostState,
+  PoolRecord,
+  Wave,
+  WaveState,
+} from '../../types';
+
+/** What the review of a wave rests on. */
+export interface WaveInputs {
+  readonly wave: Wave;
+  readonly assignments: ReadonlyMap<string, HostAssignment>;
+  readonly listed: ReadonlySet<string>;
+  readonly records: readonly PoolRecord[];
+}
+
+/** How far a wave has come. */
+export interface WaveProgress {
+  readonly done: readonly string[];
+  readonly underWay: readonly string[];
+  /** Hosts that did not return from this wave's reboot. */
+  readonly notReturned: readonly string[];
+  /** Hosts that left the fleet meanwhile. */
+  readonly gone: readonly string[];
+  readonly waiting: readonly string[];
+}
+
+/** Hosts of a wave that may fail to return before the wave pauses. */
+const NOT_RETURNED_LIMIT = 2;
+
+/** Sorts a wave's hosts by how far they have come. */
+export function findProgress(inputs: WaveInputs): WaveProgress {
+  const {wave, assignments, listed, records} = inputs;
+  const entries = new Map(
+    records.flatMap(r => r.unavailable).map(e => [e.hostId, e]),
+  );
+  const progress = {
+    done: [] as string[],
+    underWay: [] as string[],
+    notReturned: [] as string[],
+    gone: [] as string[],
+    waiting: [] as string[],
+  };
+  for (const hostId of wave.hostIds) {
+    const assignment = assignments.get(hostId);
+    const entry = entries.get(hostId);
+    if (assignment?.completedWaves.includes(wave.id)) {
+      progress.done.push(hostId);
+    } else if (!assignment || !listed.has(hostId)) {
+      progress.gone.push(hostId);
+    } else if (entry?.waveId !== wave.id) {
+      progress.waiting.push(hostId);
+    } else if (entry.state === HostState.Failed && entry.rebootAt) {
+      progress.notReturned.push(hostId);
+    } else {
+      progress.underWay.push(hostId);
+    }
+  }
+  return progress;
+}
+
+/**
+ * Finds the next state of a wave.
+ *
+ * @param inputs the wave and the state of its hosts
+ * @returns the wave with its new state and cause, or undefined if it stays
+ */
+export function reviewWave(inputs: WaveInputs): Wave | undefined {
+  const {wave} = inputs;
+  if (wave.state !== WaveState.Active) return undefined;
+  const progress = findProgress(inputs);
+  const left = progress.waiting.length + progress.underWay.length;
+  if (progress.notReturned.length === 0 && left === 0) {
+    const gone = progress.gone.length;
+    const rest = gone > 0 ? `, ${gone} left the fleet before` : '';
+    const cause = `${progress.done.length} hosts have been through maintenance${rest}`;
+    return {...wave, state: WaveState.Done, cause};
+  }
+  const fresh = progress.notReturned.filter(
+    hostId => !wave.acceptedLosses?.includes(hostId),
+  );
+  if (fresh.length < NOT_RETURNED_LIMIT) return undefined;
+  const cause = `${fresh.join(', ')} did not return from their reboots`;
+  return {...wave, state: WaveState.Paused, cause};
+}
--- a/src/ports/workers.ts
+++ b/src/ports/workers.ts
@@ -35,8 +35,8 @@
     host: Host,
     draining: boolean,
   ): Promise<Result<void, WorkerFailure>>;
-  /** Reboots a drained worker for maintenance. */
-  reboot(host: Host): Promise<Result<void, WorkerFailure>>;
+  /** Reboots a drained worker for maintenance, unless it has left the given boot. */
+  reboot(host: Host, bootNumber?: number): Promise<Result<void, WorkerFailure>>;
   /** Closes connections. */
   dispose(): void;
 }
--- a/src/stand_ins/worker/memory_workers.ts
+++ b/src/stand_ins/worker/memory_workers.ts
@@ -53,7 +53,8 @@
       find(host).andThen(model => model.orderTask(jobId, attempt, term, order)),
     setDraining: async (host, draining) =>
       find(host).map(model => model.setDraining(draining)),
-    reboot: async host => find(host).map(model => model.reboot()),
+    reboot: async (host, bootNumber) =>
+      find(host).map(model => model.reboot(bootNumber)),
     dispose: () => {},
   };
 }
--- a/src/stand_ins/worker/worker_model.ts
+++ b/src/stand_ins/worker/worker_model.ts
@@ -35,7 +35,8 @@
     order: TaskOrder,
   ): Result<TaskReport, WorkerFailure>;
   setDraining(draining: boolean): void;
-  reboot(): void;
+  /** Reboots; with an expected boot only if drained and still in that boot. */
+  reboot(expectedBoot?: number): void;
   setLeaving(leaving: boolean): void;
   dispose(): void;
 }
@@ -271,7 +272,10 @@
     setDraining(value) {
       draining = value;
     },
-    reboot() {
+    reboot(expectedBoot) {
+      if (!isUp()) return;
+      if (expectedBoot !== undefined && expectedBoot !== bootNumber) return;
+      if (expectedBoot !== undefined && !draining) return;
       rebooting = true;
       loseEverything();
       if (faults.stuckReboot) return;
--- a/src/stand_ins/worker/worker_server.ts
+++ b/src/stand_ins/worker/worker_server.ts
@@ -159,7 +159,8 @@
   }
   if (url === '/reboot') {
     sendJson(response, 200, {});
-    model.reboot();
+    const {bootNumber} = body;
+    model.reboot(typeof bootNumber === 'number' ? bootNumber : undefined);
     return;
   }
   sendJson(response, 404, {error: `no route ${url}`});
--- a/src/types/host_assignment.ts
+++ b/src/types/host_assignment.ts
@@ -6,4 +6,16 @@
   readonly lastMaintainedAt: number;
   /** Active waves that this host has already been through. */
   readonly completedWaves: readonly string[];
+  /** Identifies the write, so that no two writes are alike. */
+  readonly operationId?: string;
+  /** Time at which the host first joined a pool, in ms since the epoch. */
+  readonly adoptedAt?: number;
+  /** Time of the last move between pools, in ms since the epoch. */
+  readonly movedAt?: number;
+  /** Pool that the host belonged to before its last move. */
+  readonly movedFrom?: string;
+  /** Length of the last drain and reboot, in ms. */
+  readonly maintenanceMs?: number;
+  /** Time at which an operator released the host from quarantine, in ms since the epoch. */
+  readonly releasedAt?: number;
 }
--- a/src/types/pool_record.ts
+++ b/src/types/pool_record.ts
@@ -8,4 +8,8 @@
   readonly leader: string;
   /** Budget ledger: everything that makes a host unavailable. */
   readonly unavailable: readonly Unavailability[];
+  /** Number of the write within its term, so that no two writes are alike. */
+  readonly sequence?: number;
+  /** Budget that the last write was checked against. */
+  readonly budget?: number;
 }
--- a/src/types/unavailability.ts
+++ b/src/types/unavailability.ts
@@ -9,4 +9,10 @@
   /** Wave that drains the host, if one does. */
   readonly waveId?: string;
   readonly cause: string;
+  /** Boot that the ordered reboot ends; the worker ignores the order in any other. */
+  readonly bootNumber?: number;
+  /** Time of the order to reboot in ms since the epoch. */
+  readonly rebootAt?: number;
+  /** Pool that takes the host over, for a move. */
+  readonly movesTo?: string;
 }
--- a/src/types/wave.ts
+++ b/src/types/wave.ts
@@ -14,4 +14,10 @@
   readonly cause: string;
   /** Hosts that the wave covers, fixed when it is declared. */
   readonly hostIds: readonly string[];
+  /** Hosts whose failure to return an operator accepted by resuming the wave. */
+  readonly acceptedLosses?: readonly string[];
+  /** Time at which the wave was done or cancelled. */
+  readonly endedAt?: number;
+  /** Identifies the write, so that no two writes are alike. */
+  readonly operationId?: string;
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -3,7 +3,14 @@
   ConfigurationActor,
   createConfigurationActor,
 } from '../actors/configuration';
-import {FleetView, Waves, createFleetView, createWaves} from '../actors/fleet';
+import {
+  FleetView,
+  HostCalls,
+  Waves,
+  createFleetView,
+  createHostCalls,
+  createWaves,
+} from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
   Heartbeats,
@@ -30,6 +37,7 @@
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
+  readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
   /** What answers the calls of other members. */
@@ -68,6 +76,7 @@
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
+  const getProfiles = () => configuration.current.get()?.profiles ?? [];
   const getRevision = () => configuration.current.get()?.revision ?? 0;
   const heartbeats = createHeartbeats({peers, membership, getRevision});
   const leadership = createLeadershipActor({
@@ -117,7 +126,8 @@
     heartbeats,
     leadership,
     view,
-    waves: createWaves(store, view),
+    waves: createWaves(store, view, getProfiles),
+    hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
       telemetry,
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -51,6 +51,7 @@
       view,
       getProfile: () =>
         configuration.current.get()?.profiles.find(p => p.pool === pool),
+      getConfiguration: configuration.current.get,
     });
     const getHosts = () => view.getPoolHosts(pool);
     const slots = createPoolSlots(getHosts);
