Check histories of hosts, ledgers and assignments under any interleaving

A model runs the leaders' real reviews over a gated store: every call may be answered, lose its answer, land late or not arrive, while leaders are replaced, operators race and hosts fail, leave and vanish.

Found by the model and mended: a quarantine asked of another pool's leader was written into its ledger; the profile was read before calls to the store and so a replaced budget could be used long after. Found by a scenario: an urgent wave did not checkpoint tasks on hosts that an ordinary wave was draining already.

--- /dev/null
+++ b/features/fleet/model_view.ts
@@ -0,0 +1,80 @@
+import {FleetView, createPoolIndex} from '../../src/actors/fleet';
+import {KeyValue} from '../../src/stand_ins/platform';
+import {Mirror, MirrorEntry, createSnapshot} from '../../src/state';
+import {Host, HostAssignment, PoolRecord, Wave} from '../../src/types';
+
+/** A member's view that is as old as its last refresh. */
+export interface ModelView extends FleetView {
+  /** Takes the store's and the list's present state over. */
+  refresh(): void;
+}
+
+interface ModelMirror<T> extends Mirror<T> {
+  refresh(): void;
+}
+
+/**
+ * Creates a view without watches.
+ *
+ * @param keyValue the store's state
+ * @param listHosts returns the host list
+ */
+export function createModelView(
+  keyValue: KeyValue,
+  listHosts: () => readonly Host[],
+): ModelView {
+  const hosts = createSnapshot<readonly Host[] | undefined>(undefined);
+  const assignments = createModelMirror<HostAssignment>(keyValue, 'hosts/');
+  const records = createModelMirror<PoolRecord>(keyValue, 'pools/');
+  const waves = createModelMirror<Wave>(keyValue, 'waves/');
+  return {
+    ...createPoolIndex({hosts, assignments, records}),
+    hosts,
+    assignments,
+    records,
+    waves,
+    listWaves: () => [...waves.entries.get().values()].map(e => e.value),
+    getRecord: pool => records.entries.get().get(`pools/${pool}`)?.value,
+    isComplete: () => hosts.get() !== undefined,
+    onChange: () => () => {},
+    dispose: () => {},
+    refresh() {
+      hosts.set(listHosts());
+      assignments.refresh();
+      records.refresh();
+      waves.refresh();
+    },
+  };
+}
+
+function createModelMirror<T>(
+  keyValue: KeyValue,
+  prefix: string,
+): ModelMirror<T> {
+  const entries = createSnapshot<ReadonlyMap<string, MirrorEntry<T>>>(
+    new Map(),
+  );
+  return {
+    entries,
+    synced: createSnapshot(true),
+    connected: createSnapshot(true),
+    accept(key, version, value) {
+      const next = new Map(entries.get());
+      if (value === undefined) next.delete(key);
+      else next.set(key, {key, version, value});
+      entries.set(next);
+    },
+    dispose: () => {},
+    refresh() {
+      const listed = keyValue.list(prefix).entries;
+      entries.set(
+        new Map(
+          listed.map(({key, version, value}) => [
+            key,
+            {key, version, value: JSON.parse(value) as T},
+          ]),
+        ),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/features/fleet/waves.steps.ts
@@ -0,0 +1,348 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {WavePlan} from '../../src/decisions/fleet';
+import {HistoryEventKind, checkFleetHistory} from '../../src/history/fleet';
+import {
+  HostState,
+  PoolRecord,
+  SelectorKind,
+  Wave,
+  WaveState,
+} from '../../src/types';
+import {advance, advanceUntil, settle} from '../support/paused_clock';
+import {
+  createFleet,
+  getFleet,
+  listWorkers,
+  readAssigned,
+  readLedger,
+  readWave,
+} from './fleet_world';
+
+const STEP_MS = 200;
+const FIRST_DRAINS_MS = 5_000;
+const TASK_LEASE_MS = 1_000_000;
+
+let waves: Wave[] = [];
+let plan: WavePlan;
+let stuck: string[] = [];
+
+Given(
+  'a fleet of {int} entry hosts with its history recorded',
+  async (entries: number) => {
+    waves = [];
+    stuck = [];
+    await createFleet(entries);
+  },
+);
+
+Given('every host of {string} is busy with a long task', (pool: string) => {
+  for (const worker of listWorkers(pool)) {
+    const started = worker.startTask({
+      jobId: `job-on-${worker.host.id}`,
+      pool,
+      attempt: 1,
+      term: 1,
+      leaseMs: TASK_LEASE_MS,
+      size: {slots: 2, processors: 1, memoryMb: 1, accelerators: 0},
+      input: 'work-ms=900000',
+      idempotent: true,
+    });
+    assert.ok(started.isOk);
+  }
+});
+
+async function declare(
+  entry: number,
+  kind: SelectorKind,
+  name: string,
+  urgent = false,
+): Promise<void> {
+  const {entries} = getFleet().site;
+  const declared = await settle(
+    entries[entry].core.waves.declare({
+      selector: {kind, name},
+      reason: 'test',
+      urgent,
+      dueAt: Date.now() + 60_000,
+    }),
+  );
+  if (declared.isErr) throw new Error(declared.error);
+  waves.push(declared.value);
+}
+
+async function drainsBegin(pool: string): Promise<void> {
+  await advanceUntil(
+    () =>
+      readLedger(pool).unavailable.some(e => e.state === HostState.Draining),
+    FIRST_DRAINS_MS,
+  );
+}
+
+function poolOf(wave: Wave): string {
+  return wave.selector.name;
+}
+
+When(
+  'two operators declare overlapping waves over {string} at once',
+  async (pool: string) => {
+    await Promise.all([
+      declare(0, SelectorKind.Pool, pool),
+      declare(1, SelectorKind.All, ''),
+    ]);
+  },
+);
+
+When(
+  'the fleet leader of {string} crashes during the drains',
+  async (pool: string) => {
+    const unavailable = () => readLedger(pool).unavailable.length;
+    await advanceUntil(() => unavailable() > 0, FIRST_DRAINS_MS);
+    const {leader} = readLedger(pool);
+    const {entries} = getFleet().site;
+    entries.find(({member}) => member.id === leader)?.crash();
+  },
+);
+
+Then('within {int} seconds both waves are done', (seconds: number) =>
+  waitForWaves(WaveState.Done, seconds),
+);
+
+Then('within {int} seconds the fleet wave is done', (seconds: number) =>
+  waitForWaves(WaveState.Done, seconds),
+);
+
+async function waitForWaves(state: WaveState, seconds: number): Promise<void> {
+  await advanceUntil(
+    () => waves.every(({id}) => readWave(id).state === state),
+    seconds * 1_000,
+    STEP_MS,
+  );
+}
+
+Then('every host of {string} has rebooted exactly once', (pool: string) => {
+  for (const worker of listWorkers(pool)) {
+    assert.equal(worker.report().bootNumber, 2, worker.host.id);
+  }
+});
+
+Then('the recorded fleet history is sound', () => {
+  assert.deepEqual(checkFleetHistory(getFleet().events), []);
+});
+
+When(
+  'the store loses {int} percent of the answers to writes',
+  (percent: number) => {
+    for (const {storeFaults} of getFleet().site.entries) {
+      storeFaults.lostAnswers = percent / 100;
+    }
+  },
+);
+
+When('a fleet wave over {string} is declared', (pool: string) =>
+  declare(0, SelectorKind.Pool, pool),
+);
+
+When('an urgent fleet wave over {string} is declared', (pool: string) =>
+  declare(1, SelectorKind.Pool, pool, true),
+);
+
+When(
+  'the store is down for {int} seconds after the first drains',
+  async (seconds: number) => {
+    const pool = poolOf(waves[0]);
+    const unavailable = () => readLedger(pool).unavailable.length;
+    await advanceUntil(() => unavailable() > 0, FIRST_DRAINS_MS);
+    const {entries} = getFleet().site;
+    for (const {storeFaults} of entries) storeFaults.down = true;
+    const before = getFleet().events.length;
+    await advance(seconds * 1_000);
+    const written = getFleet().events.slice(before);
+    assert.ok(written.every(({kind}) => kind === HistoryEventKind.Reboot));
+    for (const {storeFaults} of entries) storeFaults.down = false;
+  },
+);
+
+When('two hosts of {string} never return from a reboot', (pool: string) => {
+  const workers = listWorkers(pool).slice(2, 4);
+  for (const worker of workers) worker.faults.stuckReboot = true;
+  stuck = workers.map(worker => worker.host.id);
+});
+
+Then(
+  'within {int} seconds the fleet wave is paused and names both hosts',
+  async (seconds: number) => {
+    await waitForWaves(WaveState.Paused, seconds);
+    const {cause} = readWave(waves[0].id);
+    for (const hostId of stuck) assert.ok(cause.includes(hostId), cause);
+  },
+);
+
+Then('no further host of {string} is drained', async (pool: string) => {
+  const count = () =>
+    listWorkers(pool).filter(w => w.report().bootNumber > 1).length;
+  const before = count();
+  await advance(20_000);
+  assert.equal(count(), before);
+  assert.ok(before < listWorkers(pool).length);
+});
+
+When('the two hosts are repaired and the fleet wave is resumed', async () => {
+  for (const worker of listWorkers(poolOf(waves[0]))) {
+    if (!worker.faults.stuckReboot) continue;
+    worker.faults.stuckReboot = false;
+    worker.repair();
+  }
+  const {core} = getFleet().site.entries[2];
+  const resumed = await settle(core.waves.resume(waves[0].id));
+  assert.ok(resumed.isOk);
+});
+
+When("a host of {string} that isn't drained fails", async (pool: string) => {
+  await drainsBegin(pool);
+  const taken = readLedger(pool).unavailable.map(e => e.hostId);
+  assert.equal(taken.length, 2);
+  const free = listWorkers(pool).find(w => !taken.includes(w.host.id));
+  if (free) free.faults.crashed = true;
+});
+
+Then(
+  'within {int} seconds one drained host of {string} is back in service',
+  async (seconds: number, pool: string) => {
+    const states = () => readLedger(pool).unavailable.map(e => e.state);
+    await advanceUntil(
+      () =>
+        states().includes(HostState.Failed) &&
+        states().filter(state => state === HostState.Draining).length === 1,
+      seconds * 1_000,
+    );
+    await advance(2_000);
+    const refusing = listWorkers(pool).filter(w => w.report().draining);
+    assert.equal(refusing.length, 1);
+  },
+);
+
+Then(
+  'after {int} seconds no host of {string} has rebooted',
+  async (seconds: number, pool: string) => {
+    await advance(seconds * 1_000);
+    for (const worker of listWorkers(pool)) {
+      assert.equal(worker.report().bootNumber, 1);
+    }
+  },
+);
+
+Then(
+  'the fleet wave explains what consumes the budget of {string}',
+  (pool: string) => {
+    for (const {core} of getFleet().site.entries) {
+      const explained = core.waves.explain(waves[0].id);
+      if (explained.isErr) throw new Error(explained.error);
+      const text = explained.value.explanation.join('\n');
+      assert.match(text, new RegExp(`${pool}: 2 of 2 hosts of the budget`));
+      assert.match(text, /is draining/);
+    }
+  },
+);
+
+When('the fleet wave is cancelled after its first drains', async () => {
+  await drainsBegin(poolOf(waves[0]));
+  const {core} = getFleet().site.entries[1];
+  const cancelled = await settle(core.waves.cancel(waves[0].id));
+  assert.ok(cancelled.isOk);
+});
+
+Then(
+  'within {int} seconds no host of {string} is unavailable',
+  async (seconds: number, pool: string) => {
+    await advanceUntil(
+      () =>
+        readLedger(pool).unavailable.length === 0 &&
+        listWorkers(pool).every(worker => !worker.report().draining),
+      seconds * 1_000,
+    );
+  },
+);
+
+Then(
+  'the drains of {string} finished one rack before the next',
+  (pool: string) => {
+    const racks: string[] = [];
+    for (const event of getFleet().events) {
+      if (event.kind !== HistoryEventKind.Reboot) continue;
+      const worker = listWorkers(pool).find(w => w.host.id === event.hostId);
+      if (worker && racks.at(-1) !== worker.host.rack) {
+        racks.push(worker.host.rack);
+      }
+    }
+    assert.equal(racks.length, new Set(racks).size, racks.join(', '));
+    assert.equal(racks.length, 2);
+  },
+);
+
+When(
+  'the maintenance interval of {string} becomes {int} seconds',
+  async (pool: string, seconds: number) => {
+    const {configuration} = getFleet().site.entries[0].core;
+    const known = configuration.current.get();
+    if (!known) throw new Error('no configuration');
+    const profiles = known.profiles.map(profile => ({
+      ...profile,
+      maintenanceIntervalMs: profile.pool === pool ? seconds * 1_000 : 0,
+    }));
+    const applied = await settle(
+      configuration.apply({
+        baseRevision: known.revision,
+        operationId: 'rotation',
+        author: 'test',
+        profiles,
+      }),
+    );
+    assert.ok(applied.isOk);
+  },
+);
+
+Then(
+  'within {int} seconds every host of {string} has been maintained',
+  (seconds: number, pool: string) =>
+    advanceUntil(
+      () => readAssigned(pool).every(a => a.lastMaintainedAt > 0),
+      seconds * 1_000,
+      STEP_MS,
+    ),
+);
+
+Then(
+  'never more than {int} host of {string} was in rotation at once',
+  (limit: number, pool: string) => {
+    let most = 0;
+    for (const event of getFleet().events) {
+      if (event.kind !== HistoryEventKind.Write || !event.value) continue;
+      if (event.key !== `pools/${pool}`) continue;
+      const {unavailable} = JSON.parse(event.value) as PoolRecord;
+      most = Math.max(most, unavailable.length);
+    }
+    assert.ok(most > 0 && most <= limit, `${most} were`);
+  },
+);
+
+When('a fleet wave over {string} is planned', (pool: string) => {
+  const {core} = getFleet().site.entries[1];
+  const planned = core.waves.plan({kind: SelectorKind.Pool, name: pool});
+  if (planned.isErr) throw new Error(planned.error);
+  plan = planned.value;
+});
+
+Then(
+  'the fleet plan covers {int} hosts and its lower bound is {int} seconds',
+  (hosts: number, seconds: number) => {
+    assert.equal(plan.hostIds.length, hosts);
+    assert.equal(plan.lowerBoundMs, seconds * 1_000);
+    assert.equal(plan.expectedMs, seconds * 1_000);
+    assert.deepEqual(plan.obstacles, []);
+  },
+);
+
+Then('no wave has been declared', () => {
+  assert.equal(getFleet().site.keyValue.list('waves/').entries.length, 0);
+});
--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -59,16 +59,18 @@
  *
  * @param isDone the condition
  * @param limitMs longest time to advance
+ * @param stepMs time between two looks at the condition
  * @returns time advanced in ms
  * @throws Error if the condition doesn't hold in time
  */
 export async function advanceUntil(
   isDone: () => boolean | Promise<boolean>,
   limitMs: number,
+  stepMs = STEP_MS,
 ): Promise<number> {
-  for (let passed = 0; passed <= limitMs; passed += STEP_MS) {
+  for (let passed = 0; passed <= limitMs; passed += stepMs) {
     if (await isDone()) return passed;
-    await advance(STEP_MS);
+    await advance(stepMs);
   }
   throw new Error(`did not happen within ${limitMs} ms`);
 }
@@ -91,3 +93,12 @@
   await advanceUntil(() => settled, limitMs);
   return promise;
 }
+
+/**
+ * Advances the paused clock without letting promises run in between.
+ *
+ * @param ms time to advance
+ */
+export function tickSync(ms: number): void {
+  installed?.tick(ms);
+}
--- a/src/actors/fleet/host_orders.ts
+++ b/src/actors/fleet/host_orders.ts
@@ -1,10 +1,17 @@
-import {Observation, isEmpty} from '../../decisions/fleet';
+import {Observation, isEmpty, isWanted} from '../../decisions/fleet';
 import {TaskOrder, Workers} from '../../ports';
-import {Host, HostState, Unavailability, Wave} from '../../types';
+import {
+  Host,
+  HostAssignment,
+  HostState,
+  Unavailability,
+  Wave,
+} from '../../types';
 
 /** What the orders to hosts follow from. */
 export interface OrderInputs {
   readonly hosts: ReadonlyMap<string, Host>;
+  readonly assignments: ReadonlyMap<string, HostAssignment>;
   readonly unavailable: readonly Unavailability[];
   readonly observations: ReadonlyMap<string, Observation>;
   readonly waves: readonly Wave[];
@@ -61,7 +68,7 @@
   }
   if (!REFUSING.includes(entry.state)) return [];
   if (!seen.draining) return [workers.setDraining(host, true)];
-  if (!isUrgent(entry, inputs.waves)) return [];
+  if (!isUrgent(host.id, inputs)) return [];
   return seen.tasks.map(({jobId, attempt}) =>
     workers.orderTask(host, jobId, attempt, inputs.term, TaskOrder.Checkpoint),
   );
@@ -79,6 +86,10 @@
   return [workers.reboot(host, entry.bootNumber)];
 }
 
-function isUrgent(entry: Unavailability, waves: readonly Wave[]): boolean {
-  return waves.some(wave => wave.id === entry.waveId && wave.urgent);
+/** Tells whether an urgent wave wants the host, whichever wave drains it. */
+function isUrgent(hostId: string, inputs: OrderInputs): boolean {
+  const assignment = inputs.assignments.get(hostId);
+  return inputs.waves.some(
+    wave => wave.urgent && isWanted(wave, hostId, assignment),
+  );
 }
--- a/src/actors/fleet/index.ts
+++ b/src/actors/fleet/index.ts
@@ -4,4 +4,5 @@
 export * from './hosts_in_line';
 export * from './pool_fleet_actor';
 export * from './pool_index';
+export * from './pool_review';
 export * from './waves';
--- a/src/actors/fleet/quarantine.ts
+++ b/src/actors/fleet/quarantine.ts
@@ -48,6 +48,9 @@
     since: Date.now(),
     cause,
   };
+  if (known?.state === HostState.Moving) {
+    return {ledger, result: Result.err(RefusalReason.Conflict)};
+  }
   const others = ledger.record.unavailable.filter(e => e.hostId !== hostId);
   const spent = known
     ? [...others, entry]
--- a/src/decisions/fleet/review_ledger.ts
+++ b/src/decisions/fleet/review_ledger.ts
@@ -185,7 +185,10 @@
   unavailable: readonly Unavailability[],
   changes: HostChange[],
 ): readonly Unavailability[] {
-  const drains = chooseDrains({...inputs, unavailable});
+  const changed = new Set(changes.map(change => change.hostId));
+  const settled = [...inputs.hosts].filter(([hostId]) => !changed.has(hostId));
+  const hosts = new Map(settled);
+  const drains = chooseDrains({...inputs, hosts, unavailable});
   const added = drains.map(({hostId, waveId}) => ({
     hostId,
     waveId,
--- /dev/null
+++ b/src/history/fleet/host_transitions.ts
@@ -0,0 +1,19 @@
+import {HostState} from '../../types';
+
+const {Active, Draining, Rebooting, Failed} = HostState;
+const {Quarantined, Missing, Moving, Leaving} = HostState;
+const LOST = [Failed, Missing, Leaving];
+
+/** States that may follow each state in a pool's ledger. */
+export const HOST_TRANSITIONS: Readonly<
+  Record<HostState, readonly HostState[]>
+> = {
+  [Active]: [Draining, Moving, Quarantined, ...LOST],
+  [Draining]: [Active, Rebooting, Quarantined, ...LOST],
+  [Rebooting]: [Active, Failed, Quarantined],
+  [Moving]: [Active, Quarantined, ...LOST],
+  [Quarantined]: [Active],
+  [Failed]: [Active, Quarantined, Missing, Leaving],
+  [Missing]: [Active, Quarantined, Leaving],
+  [Leaving]: [Active, Quarantined],
+};
--- a/src/stand_ins/worker/worker_model.ts
+++ b/src/stand_ins/worker/worker_model.ts
@@ -38,6 +38,8 @@
   /** Reboots; with an expected boot only if drained and still in that boot. */
   reboot(expectedBoot?: number): void;
   setLeaving(leaving: boolean): void;
+  /** Ends a reboot that is stuck, as a repair does. */
+  repair(): void;
   dispose(): void;
 }
 
@@ -196,6 +198,12 @@
     tasks.clear();
   }
 
+  function finishReboot(): void {
+    rebooting = false;
+    draining = false;
+    bootNumber += 1;
+  }
+
   return {
     host,
     faults,
@@ -279,13 +287,12 @@
       rebooting = true;
       loseEverything();
       if (faults.stuckReboot) return;
-      rebootTimer = setTimeout(() => {
-        rebooting = false;
-        draining = false;
-        bootNumber += 1;
-      }, rebootMs);
+      rebootTimer = setTimeout(finishReboot, rebootMs);
       rebootTimer.unref?.();
     },
+    repair() {
+      if (rebooting) finishReboot();
+    },
     setLeaving(value) {
       leaving = value;
     },
