--- a/src/stand_ins/worker/worker_model.ts
+++ b/src/stand_ins/worker/worker_model.ts
@@ -35,8 +35,11 @@
     order: TaskOrder,
   ): Result<TaskReport, WorkerFailure>;
   setDraining(draining: boolean): void;
-  reboot(): void;
+  /** Reboots; with an expected boot only if drained and still in that boot. */
+  reboot(expectedBoot?: number): void;
   setLeaving(leaving: boolean): void;
+  /** Ends a reboot that is stuck, as a repair does. */
+  repair(): void;
   dispose(): void;
 }
 
@@ -195,6 +198,12 @@
     tasks.clear();
   }
 
+  function finishReboot(): void {
+    rebooting = false;
+    draining = false;
+    bootNumber += 1;
+  }
+
   return {
     host,
     faults,
@@ -271,17 +280,19 @@
     setDraining(value) {
       draining = value;
     },
-    reboot() {
+    reboot(expectedBoot) {
+      if (!isUp()) return;
+      if (expectedBoot !== undefined && expectedBoot !== bootNumber) return;
+      if (expectedBoot !== undefined && !draining) return;
       rebooting = true;
       loseEverything();
       if (faults.stuckReboot) return;
-      rebootTimer = setTimeout(() => {
-        rebooting = false;
-        draining = false;
-        bootNumber += 1;
-      }, rebootMs);
+      rebootTimer = setTimeout(finishReboot, rebootMs);
       rebootTimer.unref?.();
     },
+    repair() {
+      if (rebooting) finishReboot();
+    },
     setLeaving(value) {
       leaving = value;
     },
