--- a/src/decisions/membership/assign_leaders.ts
+++ b/src/decisions/membership/assign_leaders.ts
@@ -1,9 +1,8 @@
-import {createHash} from 'node:crypto';
 import {Member} from '../../types';
+import {rendezvousScore} from './rendezvous_score';
 
 /** Pools that a member may lead, as a multiple of the mean. */
 const LOAD_FACTOR = 1.25;
-const SCORE_BYTES = 6;
 
 /**
  * Assigns every pool to the member that should lead it.
@@ -47,7 +46,8 @@
   const kept = new Map<string, string>();
   for (const id of ids) {
     const led = pools.filter(pool => leaders.get(pool) === id);
-    if (led.length > bound) led.sort((a, b) => scoreOf(b, id) - scoreOf(a, id));
+    if (led.length > bound)
+      led.sort((a, b) => rendezvousScore(b, id) - rendezvousScore(a, id));
     for (const pool of led.slice(0, bound)) kept.set(pool, id);
   }
   return kept;
@@ -57,15 +57,10 @@
   let best = ids[0];
   let bestScore = -1;
   for (const id of ids) {
-    const score = scoreOf(pool, id);
+    const score = rendezvousScore(pool, id);
     if (score <= bestScore) continue;
     best = id;
     bestScore = score;
   }
   return best;
 }
-
-function scoreOf(pool: string, memberId: string): number {
-  const digest = createHash('sha1').update(`${pool}\n${memberId}`).digest();
-  return digest.readUIntBE(0, SCORE_BYTES);
-}
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -2,4 +2,5 @@
 export * from './assign_leaders';
 export * from './heartbeat_targets';
 export * from './judge_member';
+export * from './preferred_member';
 export * from './relay_candidates';
--- /dev/null
+++ b/src/decisions/membership/preferred_member.ts
@@ -0,0 +1,25 @@
+import {Member} from '../../types';
+import {rendezvousScore} from './rendezvous_score';
+
+/**
+ * Finds the member that a name belongs to, by rendezvous hashing.
+ *
+ * @param name what is placed
+ * @param members live members; leaving ones are passed over
+ * @returns the preferred member, or undefined if there is none
+ */
+export function findPreferredMember(
+  name: string,
+  members: readonly Member[],
+): Member | undefined {
+  let best: Member | undefined;
+  let bestScore = -1;
+  for (const member of members) {
+    if (member.leaving) continue;
+    const score = rendezvousScore(name, member.id);
+    if (score <= bestScore) continue;
+    best = member;
+    bestScore = score;
+  }
+  return best;
+}
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,4 +1,5 @@
 /** Messages between members: protobuf definitions and their gRPC methods. */
+export * from './claims';
 export * from './explain';
 export * from './gossip';
 export * from './heartbeat';
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,9 +1,17 @@
 import {start, stop} from 'nact';
+import {createClaimedRequests, createClaims} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
 } from '../actors/configuration';
-import {FleetView, Waves, createFleetView, createWaves} from '../actors/fleet';
+import {
+  FleetView,
+  HostCalls,
+  Waves,
+  createFleetView,
+  createHostCalls,
+  createWaves,
+} from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
   Explanations,
@@ -36,6 +44,7 @@
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
+  readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
   /** What answers the calls of other members. */
@@ -59,6 +68,8 @@
   readonly slotPolicy?: SlotPolicy;
   /** Members to ask while the store can't tell any. */
   readonly seeds?: readonly Member[];
+  /** Time that a claim of an idempotency key is kept at least, in ms. */
+  readonly claimRetentionMs?: number;
 }
 
 /** Wires an entry host's actors. */
@@ -91,6 +102,7 @@
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
+  const getProfiles = () => configuration.current.get()?.profiles ?? [];
   const getRevision = () => configuration.current.get()?.revision ?? 0;
   const heartbeats = createHeartbeats({
     peers,
@@ -115,7 +127,16 @@
     configuration,
     leadership,
   });
-  const requests = createRequests({
+  const claims = createClaims({
+    system,
+    store,
+    peers,
+    telemetry,
+    memberId: self.id,
+    getMembers: membership.members.get,
+    retentionMs: options.claimRetentionMs,
+  });
+  const routed = createRequests({
     system,
     workers,
     telemetry,
@@ -125,6 +146,12 @@
     memberId: self.id,
     slotPolicy,
   });
+  const requests = createClaimedRequests({
+    requests: routed,
+    claims,
+    telemetry,
+    configuration: configuration.current,
+  });
 
   function dispose(): void {
     leaders.dispose();
@@ -154,7 +181,8 @@
     }),
     leadership,
     view,
-    waves: createWaves(store, view),
+    waves: createWaves(store, view, getProfiles),
+    hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
       telemetry,
@@ -166,6 +194,7 @@
       relay.handler,
       ...configuration.handlers,
       createExplainHandler(telemetry),
+      ...claims.handlers,
     ],
     isReady: () =>
       !stopping &&
