--- a/features/path/whole_path.steps.ts
+++ b/features/path/whole_path.steps.ts
@@ -81,7 +81,7 @@
         input: 'work-ms=1000',
       }),
     );
-    if (submitted.isErr) throw new Error(submitted.error);
+    if (submitted.isErr) throw new Error(submitted.error.reason);
     job = submitted.value;
   },
 );
@@ -92,7 +92,7 @@
     await advanceUntil(async () => {
       const {jobs} = site.entries[number - 1].core;
       const read = await settle(jobs.get(job.service, job.id));
-      if (read.isErr) throw new Error(read.error);
+      if (read.isErr) throw new Error(read.error.reason);
       job = read.value;
       return job.state === JobState.Done;
     }, seconds * 1_000);
--- /dev/null
+++ b/src/actors/jobs/attempt_starter.ts
@@ -0,0 +1,79 @@
+import {START_WINDOW_MS, TASK_LEASE_MS} from '../../decisions/jobs';
+import {WorkerFailure} from '../../ports';
+import {MirrorEntry} from '../../state';
+import {AttemptEnd, Host, Job, JobState} from '../../types';
+import {AttemptEnds} from './attempt_ends';
+import {JobsContext} from './jobs_context';
+
+/** Starts the attempts that the store holds. */
+export interface AttemptStarter {
+  /** Sends the start of a job's current attempt; repeated, it changes nothing. */
+  start(entry: MirrorEntry<Job>, host: Host): Promise<void>;
+}
+
+/** Failures after which the worker has certainly not started the attempt. */
+const REFUSALS: readonly WorkerFailure[] = [
+  WorkerFailure.ConnectFailed,
+  WorkerFailure.Busy,
+  WorkerFailure.Leaving,
+  WorkerFailure.Fenced,
+];
+
+/** Time for which a worker that refused a start gets no other, in ms. */
+const AVOID_MS = 1_000;
+
+/** Creates the starter of attempts. */
+export function createAttemptStarter(
+  context: JobsContext,
+  ends: AttemptEnds,
+): AttemptStarter {
+  const {workers, writer, times, pool, term} = context;
+  const inFlight = new Set<string>();
+
+  async function start(entry: MirrorEntry<Job>, host: Host): Promise<void> {
+    const jobId = entry.value.id;
+    if (inFlight.has(jobId)) return;
+    inFlight.add(jobId);
+    try {
+      await send(entry, host);
+    } finally {
+      inFlight.delete(jobId);
+    }
+  }
+
+  async function send(entry: MirrorEntry<Job>, host: Host): Promise<void> {
+    const job = entry.value;
+    const attempt = job.attempts.at(-1);
+    if (!attempt || attempt.term !== term || !context.isLeading()) return;
+    const name = {jobId: job.id, attempt: attempt.number};
+    const first = times.renewed(name) === 0;
+    times.setRenewed(name, performance.now());
+    const started = await workers.startTask(host, {
+      ...name,
+      pool,
+      term,
+      leaseMs: TASK_LEASE_MS,
+      bootNumber: attempt.bootNumber,
+      startBefore: Date.now() + START_WINDOW_MS,
+      size: job.size,
+      input: job.input,
+      checkpoint: job.checkpoint,
+      idempotent: job.idempotent,
+    });
+    if (!context.isLeading()) return;
+    if (started.isOk) {
+      await writer.save(entry, {
+        state: JobState.Running,
+        cause: `runs on ${host.id}`,
+      });
+      return;
+    }
+    const watch = context.watches.get(host.id);
+    if (watch) watch.avoidUntil = performance.now() + AVOID_MS;
+    if (first && REFUSALS.includes(started.error)) {
+      await ends.record(entry, AttemptEnd.NotStarted);
+    }
+  }
+
+  return {start};
+}
--- /dev/null
+++ b/src/actors/jobs/host_poller.ts
@@ -0,0 +1,136 @@
+import {TASK_LEASE_MS, isActive} from '../../decisions/jobs';
+import {TaskName, TaskState, WorkerFailure, WorkerReport} from '../../ports';
+import {AttemptFollower} from './attempt_follower';
+import {HostWatch} from './host_watches';
+import {JobsContext} from './jobs_context';
+
+/** Asks workers for reports, renewing leases with the same call. */
+export interface HostPoller {
+  /** Starts the polls that are due; doesn't wait for them. */
+  pollDue(): void;
+  /** Polls a worker at the next round. */
+  hurry(hostId: string): void;
+}
+
+const IDLE_POLL_MS = 2_000;
+const MAX_POLL_MS = 2_000;
+const MIN_POLL_MS = 100;
+const SILENT_POLL_MS = 1_000;
+/** Poll time of a task whose end can't be foreseen yet. */
+const EARLY_POLL_MS = 400;
+const FORESEEABLE_PROGRESS = 0.05;
+const RENEW_MS = TASK_LEASE_MS / 4;
+
+/** Creates the poller of a pool's workers. */
+export function createHostPoller(
+  context: JobsContext,
+  follower: AttemptFollower,
+): HostPoller {
+  const {workers, watches, mirror, times, pool, term} = context;
+
+  function pollDue(): void {
+    for (const {host} of context.getHosts()) watches.see(host);
+    const now = performance.now();
+    for (const watch of watches.all()) {
+      if (watch.polling || watch.nextPollAt > now) continue;
+      if (forgetGone(watch)) continue;
+      void poll(watch);
+    }
+  }
+
+  /** Forgets a worker that has left the pool and holds none of its work. */
+  function forgetGone({host}: HostWatch): boolean {
+    if (context.getHosts().some(known => known.host.id === host.id)) {
+      return false;
+    }
+    if (attemptsOn(host.id).length > 0) return false;
+    watches.forget(host.id);
+    return true;
+  }
+
+  async function poll(watch: HostWatch): Promise<void> {
+    watch.polling = true;
+    try {
+      if (watch.answering) await pollRenewing(watch);
+      else await probe(watch);
+    } finally {
+      watch.polling = false;
+    }
+  }
+
+  async function pollRenewing(watch: HostWatch): Promise<void> {
+    const sentAt = performance.now();
+    const renew =
+      sentAt - watch.renewedAt >= RENEW_MS ? attemptsOn(watch.host.id) : [];
+    const before = renew.map(name => times.renewed(name));
+    for (const name of renew) times.setRenewed(name, sentAt);
+    const answer = await workers.report(watch.host, {pool, term, renew});
+    if (!context.isLeading()) return;
+    if (answer.isOk) {
+      if (renew.length > 0) watch.renewedAt = sentAt;
+      watch.report = answer.value;
+      watch.nextPollAt = performance.now() + chooseInterval(answer.value);
+      return follower.followReport(watch, answer.value);
+    }
+    if (answer.error === WorkerFailure.Fenced) return context.supersede();
+    watch.nextPollAt = performance.now() + SILENT_POLL_MS;
+    if (answer.error === WorkerFailure.ConnectFailed) {
+      renew.forEach((name, i) => times.setRenewed(name, before[i]));
+    } else {
+      watch.answering = false;
+    }
+    return follower.followSilence(watch.host.id);
+  }
+
+  /** Asks without renewing, so that the leases of a silent worker lapse. */
+  async function probe(watch: HostWatch): Promise<void> {
+    const answer = await workers.report(watch.host);
+    if (!context.isLeading()) return;
+    if (answer.isOk) {
+      watch.answering = true;
+      watch.renewedAt = 0;
+      watch.nextPollAt = 0;
+      return;
+    }
+    watch.nextPollAt = performance.now() + SILENT_POLL_MS;
+    return follower.followSilence(watch.host.id);
+  }
+
+  /** Names the attempts on a worker whose records carry this leader's term. */
+  function attemptsOn(hostId: string): readonly TaskName[] {
+    const names: TaskName[] = [];
+    for (const {value} of mirror.entries.get().values()) {
+      const attempt = value.attempts.at(-1);
+      if (!isActive(value.state) || attempt?.hostId !== hostId) continue;
+      if (value.term !== term) continue;
+      names.push({jobId: value.id, attempt: attempt.number});
+    }
+    return names;
+  }
+
+  function chooseInterval(report: WorkerReport): number {
+    let interval = report.tasks.length > 0 ? MAX_POLL_MS : IDLE_POLL_MS;
+    for (const task of report.tasks) {
+      if (task.state !== TaskState.Running) continue;
+      interval = Math.min(interval, timeToEnd(task.jobId, task.progress));
+    }
+    return Math.max(MIN_POLL_MS, interval);
+  }
+
+  function timeToEnd(jobId: string, progress: number): number {
+    if (progress < FORESEEABLE_PROGRESS) return EARLY_POLL_MS;
+    const entry = mirror.entries.get().get(`jobs/${pool}/${jobId}`);
+    const attempt = entry?.value.attempts.at(-1);
+    if (!entry || !attempt || entry.value.checkpoint) return EARLY_POLL_MS;
+    const ran = Date.now() - attempt.startedAt;
+    return (ran * (1 - progress)) / progress;
+  }
+
+  return {
+    pollDue,
+    hurry(hostId) {
+      const watch = watches.get(hostId);
+      if (watch) watch.nextPollAt = 0;
+    },
+  };
+}
--- a/src/actors/jobs/index.ts
+++ b/src/actors/jobs/index.ts
@@ -1,4 +1,9 @@
 /** Long jobs: callers' calls and the leader's keeper. */
+export * from './caretaker';
 export * from './job_calls';
+export * from './job_refusal';
 export * from './pool_jobs_actor';
+export * from './pool_jobs_options';
+export * from './release_decision';
+export * from './retention';
 export * from './submission';
--- a/src/actors/jobs/job_calls.ts
+++ b/src/actors/jobs/job_calls.ts
@@ -1,26 +1,47 @@
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {Result} from 'true-myth';
-import {isFinal} from '../../decisions/jobs';
+import {checkSatisfiable, isFinal} from '../../decisions/jobs';
 import {Store} from '../../ports';
 import {Snapshot, WriteOutcome, write} from '../../state';
 import {Telemetry} from '../../telemetry';
 import {
+  AttemptEnd,
   Configuration,
   DecisionKind,
+  Finding,
   Job,
   JobState,
+  PoolHost,
   Profile,
   RefusalReason,
 } from '../../types';
+import {createJob, keyOfJob} from './create_job';
+import {JobRefusal} from './job_refusal';
+import {ReleaseDecision} from './release_decision';
+import {runBounded} from './run_bounded';
 import {Submission} from './submission';
 
+/** Answer to a call about a job. */
+export type JobAnswer<T> = Promise<Result<T, JobRefusal>>;
+
 /** Callers' calls about long jobs; any entry host answers them from the store. */
 export interface JobCalls {
   /** Resolves once the store holds the job. */
-  submit(submission: Submission): Promise<Result<Job, RefusalReason>>;
-  get(service: string, id: string): Promise<Result<Job, RefusalReason>>;
-  list(service: string): Promise<Result<readonly Job[], RefusalReason>>;
-  cancel(service: string, id: string): Promise<Result<Job, RefusalReason>>;
+  submit(submission: Submission): JobAnswer<Job>;
+  get(service: string, id: string): JobAnswer<Job>;
+  list(service: string): JobAnswer<readonly Job[]>;
+  cancel(service: string, id: string): JobAnswer<Job>;
+  /** Cancels several jobs; answers for each whether it took effect. */
+  cancelMany(
+    service: string,
+    ids: readonly string[],
+  ): Promise<readonly Result<Job, JobRefusal>[]>;
+  /** Carries out an operator's decision about a held job. */
+  release(
+    service: string,
+    id: string,
+    decision: ReleaseDecision,
+  ): JobAnswer<Job>;
 }
 
 /** Where the calls get what they need. */
@@ -28,9 +49,14 @@
   readonly store: Store;
   readonly telemetry: Telemetry;
   readonly configuration: Snapshot<Configuration | undefined>;
+  readonly getPoolHosts: (pool: string) => readonly PoolHost[];
 }
 
-const CANCEL_TRIES = 5;
+/** Changes a job on behalf of a caller; undefined if there is nothing to do. */
+type Change = (job: Job) => Result<Partial<Job> | undefined, RefusalReason>;
+
+const TRIES = 5;
+const CANCELS_AT_ONCE = 16;
 
 /** Creates the callers' calls about long jobs. */
 export function createJobCalls(options: JobCallsOptions): JobCalls {
@@ -41,135 +67,166 @@
     return profiles.find(profile => profile.services.includes(service));
   }
 
-  async function submit(
-    submission: Submission,
-  ): Promise<Result<Job, RefusalReason>> {
-    const profile = findProfile(submission.service);
-    if (!profile) return Result.err(RefusalReason.UnknownService);
-    const job = createJob(submission, profile);
-    const key = keyOf(profile.pool, job.id);
-    const written = await write(store, {
-      key,
-      expectedVersion: 0,
-      value: JSON.stringify(job),
-    });
-    switch (written.outcome) {
-      case WriteOutcome.Written:
-        telemetry.decide({
-          kind: DecisionKind.Accept,
-          subject: job.id,
-          pool: profile.pool,
-          cause: `${job.id} is stored and waits for a worker`,
-        });
-        return Result.ok(job);
-      case WriteOutcome.Conflict:
-        return written.found
-          ? Result.ok(JSON.parse(written.found.value) as Job)
-          : Result.err(RefusalReason.Conflict);
-      case WriteOutcome.Unavailable:
-        return Result.err(RefusalReason.StoreUnavailable);
-      case WriteOutcome.Unknown:
-        return Result.err(RefusalReason.OutcomeUnknown);
+  function refuse<T>(
+    service: string,
+    reason: RefusalReason,
+    findings?: readonly Finding[],
+  ): Result<T, JobRefusal> {
+    telemetry.refused(service, reason);
+    return Result.err({reason, findings});
+  }
+
+  async function submit(submission: Submission): JobAnswer<Job> {
+    const {service, size} = submission;
+    const profile = findProfile(service);
+    if (!profile) return refuse(service, RefusalReason.UnknownService);
+    const hosts = options.getPoolHosts(profile.pool).map(({host}) => host);
+    const findings = checkSatisfiable(size, hosts);
+    if (findings.length > 0) {
+      return refuse(service, RefusalReason.Unsatisfiable, findings);
     }
+    return keep(createJob(submission, profile));
   }
 
-  async function get(
-    service: string,
-    id: string,
-  ): Promise<Result<Job, RefusalReason>> {
+  /** Writes a new job, again if the answer stays unknown: the key is the job's own. */
+  async function keep(job: Job): JobAnswer<Job> {
+    const value = JSON.stringify(job);
+    let reason = RefusalReason.StoreUnavailable;
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const swap = {key: keyOfJob(job), expectedVersion: 0, value};
+      const written = await write(store, swap);
+      if (written.outcome === WriteOutcome.Written) return accept(job);
+      if (written.outcome === WriteOutcome.Conflict) {
+        if (written.found) return accept(JSON.parse(written.found.value));
+        return refuse(job.service, RefusalReason.Conflict);
+      }
+      if (written.outcome === WriteOutcome.Unavailable) break;
+      reason = RefusalReason.OutcomeUnknown;
+    }
+    return refuse(job.service, reason);
+  }
+
+  function accept(job: Job): Result<Job, JobRefusal> {
+    telemetry.decide({
+      kind: DecisionKind.Accept,
+      subject: job.id,
+      pool: job.pool,
+      cause: `${job.id} is stored and ${job.state}`,
+    });
+    return Result.ok(job);
+  }
+
+  async function get(service: string, id: string): JobAnswer<Job> {
     const profile = findProfile(service);
-    if (!profile) return Result.err(RefusalReason.UnknownService);
-    const read = await store.get(keyOf(profile.pool, id));
-    if (read.isErr) return Result.err(RefusalReason.StoreUnavailable);
-    if (!read.value) return Result.err(RefusalReason.NotFound);
+    if (!profile) return refuse(service, RefusalReason.UnknownService);
+    const read = await store.get(keyOfJob({pool: profile.pool, id}));
+    if (read.isErr) return refuse(service, RefusalReason.StoreUnavailable);
+    if (!read.value) return refuse(service, RefusalReason.NotFound);
     return Result.ok(JSON.parse(read.value.value) as Job);
   }
 
-  async function list(
-    service: string,
-  ): Promise<Result<readonly Job[], RefusalReason>> {
+  async function list(service: string): JobAnswer<readonly Job[]> {
     const profile = findProfile(service);
-    if (!profile) return Result.err(RefusalReason.UnknownService);
+    if (!profile) return refuse(service, RefusalReason.UnknownService);
     const read = await store.list(`jobs/${profile.pool}/`);
-    if (read.isErr) return Result.err(RefusalReason.StoreUnavailable);
+    if (read.isErr) return refuse(service, RefusalReason.StoreUnavailable);
     const jobs = read.value.entries.map(e => JSON.parse(e.value) as Job);
     return Result.ok(jobs.filter(job => job.service === service));
   }
 
-  async function cancel(
+  async function change(
     service: string,
     id: string,
-  ): Promise<Result<Job, RefusalReason>> {
+    decide: Change,
+  ): JobAnswer<Job> {
     const profile = findProfile(service);
-    if (!profile) return Result.err(RefusalReason.UnknownService);
-    for (let tries = 0; tries < CANCEL_TRIES; tries += 1) {
-      const cancelled = await tryCancel(keyOf(profile.pool, id));
-      if (cancelled) return cancelled;
+    if (!profile) return refuse(service, RefusalReason.UnknownService);
+    const key = keyOfJob({pool: profile.pool, id});
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const read = await store.get(key);
+      if (read.isErr) return refuse(service, RefusalReason.StoreUnavailable);
+      if (!read.value) return refuse(service, RefusalReason.NotFound);
+      const job = JSON.parse(read.value.value) as Job;
+      const decided = decide(job);
+      if (decided.isErr) return refuse(service, decided.error);
+      if (!decided.value) return Result.ok(job);
+      const next = {...job, ...decided.value, operationId: randomUUID()};
+      const written = await write(store, {
+        key,
+        expectedVersion: read.value.version,
+        value: JSON.stringify(next),
+      });
+      switch (written.outcome) {
+        case WriteOutcome.Written:
+          return Result.ok(explain(next));
+        case WriteOutcome.Unavailable:
+          return refuse(service, RefusalReason.StoreUnavailable);
+        default:
+          continue;
+      }
     }
-    return Result.err(RefusalReason.Conflict);
+    return refuse(service, RefusalReason.Conflict);
   }
 
-  async function tryCancel(
-    key: string,
-  ): Promise<Result<Job, RefusalReason> | undefined> {
-    const read = await store.get(key);
-    if (read.isErr) return Result.err(RefusalReason.StoreUnavailable);
-    if (!read.value) return Result.err(RefusalReason.NotFound);
-    const job = JSON.parse(read.value.value) as Job;
-    if (isFinal(job.state)) return Result.ok(job);
-    const cancelled: Job = {
-      ...job,
-      state: JobState.Cancelled,
-      cause: 'cancelled by the caller',
-      finishedAt: Date.now(),
-    };
-    const written = await write(store, {
-      key,
-      expectedVersion: read.value.version,
-      value: JSON.stringify(cancelled),
+  function explain(job: Job): Job {
+    const cancelled = job.state === JobState.Cancelled;
+    telemetry.decide({
+      kind: cancelled ? DecisionKind.Cancel : DecisionKind.Release,
+      subject: job.id,
+      pool: job.pool,
+      cause: `${job.id}: ${job.cause}`,
+      inputs: {state: job.state},
     });
-    switch (written.outcome) {
-      case WriteOutcome.Written:
-        return Result.ok(cancelled);
-      case WriteOutcome.Conflict:
-        return undefined;
-      case WriteOutcome.Unavailable:
-        return Result.err(RefusalReason.StoreUnavailable);
-      case WriteOutcome.Unknown:
-        return Result.err(RefusalReason.OutcomeUnknown);
-    }
+    return job;
   }
 
-  return {submit, get, list, cancel};
-}
+  const cancel = (service: string, id: string) =>
+    change(service, id, cancelJob);
 
-function createJob(submission: Submission, profile: Profile): Job {
   return {
-    id: idOf(submission),
-    service: submission.service,
-    pool: profile.pool,
-    team: submission.team,
-    state: JobState.Waiting,
-    idempotent: submission.idempotent ?? profile.idempotent,
-    size: submission.size,
-    runTimeMs: submission.runTimeMs,
-    submittedAt: Date.now(),
-    dueAt: submission.dueAt,
-    input: submission.input,
-    attempts: [],
-    cause: 'accepted',
+    submit,
+    get,
+    list,
+    cancel,
+    async cancelMany(service, ids) {
+      const answers = new Map<string, Result<Job, JobRefusal>>();
+      await runBounded(ids, CANCELS_AT_ONCE, async id => {
+        answers.set(id, await cancel(service, id));
+      });
+      return [...answers.values()];
+    },
+    release: (service, id, decision) =>
+      change(service, id, job => releaseJob(job, decision)),
   };
 }
 
-const ID_LENGTH = 20;
+function cancelJob(job: Job): ReturnType<Change> {
+  if (isFinal(job.state)) return Result.ok(undefined);
+  return Result.ok({
+    state: JobState.Cancelled,
+    cause: 'cancelled by the caller',
+    finishedAt: Date.now(),
+  });
+}
 
-function idOf({service, team, idempotencyKey}: Submission): string {
-  if (idempotencyKey === undefined) return `job-${randomUUID()}`;
-  const text = JSON.stringify([service, team, idempotencyKey]);
-  const digest = createHash('sha256').update(text).digest('hex');
-  return `job-${digest.slice(0, ID_LENGTH)}`;
+function releaseJob(job: Job, decision: ReleaseDecision): ReturnType<Change> {
+  if (job.state !== JobState.Held) return Result.err(RefusalReason.Conflict);
+  if (decision === ReleaseDecision.Rerun) {
+    return Result.ok({
+      state: JobState.Waiting,
+      attempts: forgetFailures(job),
+      cause: 'released by an operator to run again',
+    });
+  }
+  return Result.ok({
+    state: JobState.Failed,
+    cause: `given up by an operator: ${job.cause}`,
+    finishedAt: Date.now(),
+  });
 }
 
-function keyOf(pool: string, id: string): string {
-  return `jobs/${pool}/${id}`;
+/** Keeps only the last attempt, so that numbers go on and failures count anew. */
+function forgetFailures(job: Job): Job['attempts'] {
+  const last = job.attempts.at(-1);
+  return last ? [{...last, end: AttemptEnd.Stopped}] : [];
 }
--- /dev/null
+++ b/src/actors/jobs/placer.ts
@@ -0,0 +1,168 @@
+import {
+  HostRoom,
+  Placement,
+  countPlaceable,
+  isWaiting,
+  planPlacements,
+} from '../../decisions/jobs';
+import {MirrorEntry} from '../../state';
+import {
+  AttemptEnd,
+  DecisionKind,
+  HostState,
+  Job,
+  JobAttempt,
+  JobState,
+} from '../../types';
+import {AttemptStarter} from './attempt_starter';
+import {HostWatch} from './host_watches';
+import {JobsContext} from './jobs_context';
+import {runBounded} from './run_bounded';
+
+/** Places waiting jobs on workers. */
+export interface Placer {
+  /** Runs one round; resolves when the store holds the placements. */
+  place(): Promise<void>;
+}
+
+/** Placements of one round. */
+const ROUND_LIMIT = 64;
+const AT_ONCE = 16;
+
+/**
+ * Creates the placer.
+ *
+ * @param context the leader's parts
+ * @param starter starts what was placed
+ * @param sinceShortage time in ms since interactive work last lacked slots
+ */
+export function createPlacer(
+  context: JobsContext,
+  starter: AttemptStarter,
+  sinceShortage: () => number,
+): Placer {
+  const {mirror, heldSlots, slots, writer, watches, term, pool} = context;
+
+  async function place(): Promise<void> {
+    const entries = new Map<string, MirrorEntry<Job>>();
+    for (const entry of mirror.entries.get().values()) {
+      const {id, state} = entry.value;
+      if (!isWaiting(state) || heldSlots.get(id)) continue;
+      entries.set(id, entry);
+    }
+    if (entries.size === 0) return;
+    const waiting = [...entries.values()].map(({value}) => value);
+    const placements = plan(waiting);
+    await runBounded(placements, AT_ONCE, async placement => {
+      const entry = entries.get(placement.job.id);
+      if (entry) await begin(entry, placement);
+    });
+  }
+
+  function plan(waiting: readonly Job[]): readonly Placement[] {
+    const hosts = context.getHosts();
+    const totalSlots = hosts.reduce((sum, {host}) => sum + host.slots, 0);
+    const profile = context.getProfile();
+    const kept = Math.floor((profile?.longWorkMinimum ?? 0) * totalSlots);
+    const teamSlots = new Map<string, number>();
+    for (const {job, size} of heldSlots.all()) {
+      teamSlots.set(job.team, (teamSlots.get(job.team) ?? 0) + size.slots);
+    }
+    return planPlacements({
+      now: Date.now(),
+      waiting,
+      rooms: listRooms(),
+      estimate: context.estimates.estimate,
+      teamSlots,
+      teamQuotas: profile?.teamQuotas ?? {},
+      totalSlots,
+      placeable: countPlaceable({
+        shortage: slots.getShortage().slots,
+        sinceShortageMs: sinceShortage(),
+        held: heldSlots.count(),
+        kept,
+      }),
+      limit: ROUND_LIMIT,
+    });
+  }
+
+  function listRooms(): readonly HostRoom[] {
+    const suspects = context.getSuspects();
+    const next = context.getNextDrains?.() ?? new Set<string>();
+    const rooms: HostRoom[] = [];
+    for (const {host, state} of context.getHosts()) {
+      const watch = watches.get(host.id);
+      if (state !== HostState.Active || suspects.has(host.id)) continue;
+      if (!watch || !isUsable(watch)) continue;
+      rooms.push({
+        host,
+        slots: slots.getFree(host.id),
+        ...heldSlots.room(host),
+        avoided: next.has(host.id),
+      });
+    }
+    return rooms;
+  }
+
+  async function begin(
+    entry: MirrorEntry<Job>,
+    {job, hostId, estimate}: Placement,
+  ): Promise<void> {
+    const watch = watches.get(hostId);
+    if (!watch || !context.isLeading()) return;
+    const attempt: JobAttempt = {
+      number: (job.attempts.at(-1)?.number ?? 0) + 1,
+      hostId,
+      term,
+      bootNumber: watch.report?.bootNumber,
+      startedAt: Date.now(),
+    };
+    const holding = {
+      job,
+      hostId,
+      attempt: attempt.number,
+      size: estimate.size,
+      since: performance.now(),
+    };
+    if (!heldSlots.reserve(holding)) return;
+    const saved = await writer.save(entry, {
+      state: JobState.Starting,
+      attempts: [...startedAttempts(job), attempt],
+      cause: `attempt ${attempt.number} starts on ${hostId}`,
+    });
+    if (!saved) {
+      heldSlots.release(job.id);
+      return;
+    }
+    context.telemetry.decide({
+      kind: DecisionKind.Place,
+      subject: job.id,
+      pool,
+      cause: saved.value.cause,
+      inputs: {
+        term,
+        attempt: attempt.number,
+        estimatedRunTimeMs: Math.round(estimate.runTimeMs),
+        dueInMs: job.dueAt - Date.now(),
+      },
+    });
+    watch.nextPollAt = Math.min(watch.nextPollAt, performance.now() + FIRST_MS);
+    void starter.start(saved, watch.host);
+  }
+
+  return {place};
+}
+
+/** Time from a start to the first poll of its worker, in ms. */
+const FIRST_MS = 300;
+
+function isUsable({answering, report, avoidUntil}: HostWatch): boolean {
+  if (!answering || !report) return false;
+  if (report.leaving || report.draining) return false;
+  return performance.now() >= avoidUntil;
+}
+
+/** Returns the attempts that ran; the others say nothing about the job. */
+function startedAttempts(job: Job): Job['attempts'] {
+  return job.attempts.filter(({end}) => end !== AttemptEnd.NotStarted);
+}
--- /dev/null
+++ b/src/actors/jobs/preempter.ts
@@ -0,0 +1,147 @@
+import {Candidate, chooseVictims} from '../../decisions/jobs';
+import {TaskOrder, TaskState} from '../../ports';
+import {AttemptEnd, DecisionKind, HostState, Job, JobState} from '../../types';
+import {Holding} from './held_slots';
+import {HostPoller} from './host_poller';
+import {JobsContext} from './jobs_context';
+import {runBounded} from './run_bounded';
+
+/** Makes long work give slots to interactive work and leave draining hosts. */
+export interface Preempter {
+  /** Reviews the shortage; resolves when the orders are answered. */
+  review(): Promise<void>;
+  /** Returns the time since interactive work last lacked slots, in ms. */
+  sinceShortage(): number;
+}
+
+const AT_ONCE = 32;
+/** A task on a draining host that ends sooner is left to end, in ms. */
+const DRAIN_GRACE_MS = 5_000;
+
+/** Creates the preempter. */
+export function createPreempter(
+  context: JobsContext,
+  poller: HostPoller,
+): Preempter {
+  const {slots, heldSlots, mirror, watches, workers, telemetry} = context;
+  const {term, pool} = context;
+  const ordered = new Set<string>();
+  let lastShortageAt = -Infinity;
+  let reviewing = false;
+
+  async function review(): Promise<void> {
+    if (reviewing || !context.isLeading()) return;
+    reviewing = true;
+    try {
+      await makeRoom();
+      await leaveDraining();
+    } finally {
+      reviewing = false;
+    }
+  }
+
+  async function makeRoom(): Promise<void> {
+    const shortage = slots.getShortage();
+    if (shortage.slots <= 0) return;
+    lastShortageAt = performance.now();
+    const profile = context.getProfile();
+    const hosts = context.getHosts();
+    const total = hosts.reduce((sum, {host}) => sum + host.slots, 0);
+    const kept = Math.floor((profile?.longWorkMinimum ?? 0) * total);
+    const held = [...heldSlots.all()];
+    const victims = new Set(
+      chooseVictims({
+        running: held.map(describe),
+        wanted: Math.ceil(shortage.slots),
+        kept,
+      }),
+    );
+    const chosen = held.filter(({job}) => victims.has(job.id));
+    await runBounded(chosen, AT_ONCE, holding =>
+      preempt(holding, `interactive work lacks ${shortage.slots} slots`),
+    );
+  }
+
+  async function leaveDraining(): Promise<void> {
+    const draining = new Set(
+      context
+        .getHosts()
+        .filter(({state}) => state === HostState.Draining)
+        .map(({host}) => host.id),
+    );
+    if (draining.size === 0) return;
+    const leaving = [...heldSlots.all()].filter(holding => {
+      if (!draining.has(holding.hostId)) return false;
+      const {idempotent, remainingMs} = describe(holding);
+      return idempotent && remainingMs > DRAIN_GRACE_MS;
+    });
+    await runBounded(leaving, AT_ONCE, holding =>
+      preempt(holding, `${holding.hostId} is being drained`),
+    );
+  }
+
+  /** Has the worker checkpoint a task; its record follows with the next report. */
+  async function preempt(holding: Holding, cause: string): Promise<void> {
+    const {job, hostId, attempt} = holding;
+    const watch = watches.get(hostId);
+    if (!watch || !isRunning(job.id) || ordered.has(job.id)) return;
+    ordered.add(job.id);
+    const order = TaskOrder.Checkpoint;
+    const answer = await workers.orderTask(
+      watch.host,
+      job.id,
+      attempt,
+      term,
+      order,
+    );
+    ordered.delete(job.id);
+    if (answer.isErr || answer.value.state !== TaskState.Checkpointed) return;
+    heldSlots.releaseEarly(job.id);
+    poller.hurry(hostId);
+    telemetry.decide({
+      kind: DecisionKind.Preempt,
+      subject: job.id,
+      pool,
+      cause: `${job.id} is checkpointed on ${hostId}: ${cause}`,
+      inputs: {term, attempt, progress: answer.value.progress},
+    });
+  }
+
+  function describe(holding: Holding): Candidate {
+    const {job, since, size} = holding;
+    const ranMs = performance.now() - since;
+    const ends = findJob(job.id)?.attempts ?? [];
+    return {
+      jobId: job.id,
+      slots: size.slots,
+      idempotent: job.idempotent && isRunning(job.id),
+      remainingMs: estimateRemaining(holding, ranMs),
+      dueInMs: job.dueAt - Date.now(),
+      ranMs,
+      preemptions: ends.filter(({end}) => end === AttemptEnd.Checkpointed)
+        .length,
+    };
+  }
+
+  function estimateRemaining(holding: Holding, ranMs: number): number {
+    const {job, hostId, attempt} = holding;
+    const task = watches
+      .get(hostId)
+      ?.report?.tasks.find(t => t.jobId === job.id && t.attempt === attempt);
+    const total = context.estimates.estimate(job).runTimeMs;
+    return Math.max(0, total * (1 - (task?.progress ?? 0)) || total - ranMs);
+  }
+
+  function isRunning(id: string): boolean {
+    return findJob(id)?.state === JobState.Running;
+  }
+
+  function findJob(id: string): Job | undefined {
+    return mirror.entries.get().get(`jobs/${pool}/${id}`)?.value;
+  }
+
+  return {
+    review,
+    sinceShortage: () => performance.now() - lastShortageAt,
+  };
+}
--- /dev/null
+++ b/src/actors/jobs/retention.ts
@@ -0,0 +1,38 @@
+import {isFinal} from '../../decisions/jobs';
+import {WriteOutcome, write} from '../../state';
+import {JobsContext} from './jobs_context';
+import {runBounded} from './run_bounded';
+
+/** Deletes finished jobs after their retention. */
+export interface Retention {
+  review(): Promise<void>;
+}
+
+/** Time for which finished jobs are kept unless set otherwise, in ms. */
+export const RETENTION_MS = 7 * 86_400_000;
+
+const DELETIONS_AT_ONCE = 4;
+const DELETIONS_PER_ROUND = 100;
+
+/** Creates the deletion of old jobs. */
+export function createRetention(context: JobsContext): Retention {
+  const {mirror, store, retentionMs = RETENTION_MS} = context;
+  return {
+    async review() {
+      const before = Date.now() - retentionMs;
+      const old = [...mirror.entries.get().values()]
+        .filter(({value}) => isFinal(value.state))
+        .filter(({value}) => (value.finishedAt ?? Infinity) < before)
+        .slice(0, DELETIONS_PER_ROUND);
+      await runBounded(old, DELETIONS_AT_ONCE, async ({key, version}) => {
+        const written = await write(store, {
+          key,
+          expectedVersion: version,
+          value: undefined,
+        });
+        if (written.outcome !== WriteOutcome.Written) return;
+        mirror.accept(key, version + 1, undefined);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/actors/jobs/takeover.ts
@@ -0,0 +1,68 @@
+import {isActive} from '../../decisions/jobs';
+import {MirrorEntry} from '../../state';
+import {Job} from '../../types';
+import {AttemptFollower} from './attempt_follower';
+import {JobsContext} from './jobs_context';
+import {runBounded} from './run_bounded';
+
+/** Takes over the attempts that earlier leaders started. */
+export interface Takeover {
+  /** Writes this leader's term into active records and records their room. */
+  review(): Promise<void>;
+}
+
+const AT_ONCE = 32;
+
+/** Creates the takeover; it also notices attempts that an old leader adds later. */
+export function createTakeover(
+  context: JobsContext,
+  follower: AttemptFollower,
+): Takeover {
+  const {mirror, writer, heldSlots, times, watches, term} = context;
+
+  async function review(): Promise<void> {
+    const active = [...mirror.entries.get().values()].filter(({value}) =>
+      isActive(value.state),
+    );
+    for (const {value} of active) adopt(value);
+    const inherited = active.filter(({value}) => value.term !== term);
+    await runBounded(inherited, AT_ONCE, stamp);
+    for (const hostId of listGoneHosts(active)) {
+      await follower.followSilence(hostId);
+    }
+  }
+
+  function adopt(job: Job): void {
+    const attempt = job.attempts.at(-1);
+    if (!attempt) return;
+    times.firstSeen({jobId: job.id, attempt: attempt.number});
+    const known = heldSlots.get(job.id);
+    if (known?.attempt === attempt.number) return;
+    heldSlots.adopt({
+      job,
+      hostId: attempt.hostId,
+      attempt: attempt.number,
+      size: context.estimates.estimate(job).size,
+      since: performance.now(),
+    });
+  }
+
+  /** Makes every write of an earlier leader fail that rests on the old record. */
+  async function stamp(entry: MirrorEntry<Job>): Promise<void> {
+    const {state} = entry.value;
+    await writer.save(entry, {state});
+  }
+
+  function listGoneHosts(
+    active: readonly MirrorEntry<Job>[],
+  ): ReadonlySet<string> {
+    const gone = new Set<string>();
+    for (const {value} of active) {
+      const hostId = value.attempts.at(-1)?.hostId;
+      if (hostId !== undefined && !watches.get(hostId)) gone.add(hostId);
+    }
+    return gone;
+  }
+
+  return {review};
+}
--- /dev/null
+++ b/src/actors/jobs/watchdog.ts
@@ -0,0 +1,154 @@
+import {findSuspects, isActive, isFinal, isWaiting} from '../../decisions/jobs';
+import {TaskOrder, TaskState} from '../../ports';
+import {DecisionKind, Job, JobState} from '../../types';
+import {HostPoller} from './host_poller';
+import {JobsContext} from './jobs_context';
+
+/** Notices jobs that are overdue or make no progress, and bad workers. */
+export interface Watchdog {
+  review(): void;
+  /** Returns the hosts that fail what others complete. */
+  getSuspects(): ReadonlySet<string>;
+}
+
+/** Time without progress after which an idempotent task is stopped, in ms. */
+export const STALL_MS = 60_000;
+
+interface Progress {
+  readonly attempt: number;
+  readonly progress: number;
+  readonly since: number;
+  reported: boolean;
+}
+
+/** Creates the watchdog of a pool. */
+export function createWatchdog(
+  context: JobsContext,
+  poller: HostPoller,
+): Watchdog {
+  const {mirror, telemetry, watches, workers, pool, term} = context;
+  const overdue = new Set<string>();
+  const progresses = new Map<string, Progress>();
+  let suspects: ReadonlySet<string> = new Set();
+
+  function review(): void {
+    const jobs = [...mirror.entries.get().values()].map(({value}) => value);
+    reviewSuspects(jobs);
+    for (const job of jobs) reviewDue(job);
+    for (const watch of watches.all()) {
+      for (const task of watch.report?.tasks ?? []) {
+        if (task.state !== TaskState.Running) continue;
+        const {jobId, attempt, progress} = task;
+        if (hasStalled(jobId, attempt, progress)) stall(jobId, attempt);
+      }
+    }
+    for (const id of progresses.keys()) {
+      const job = mirror.entries.get().get(`jobs/${pool}/${id}`)?.value;
+      if (!job || !isActive(job.state)) progresses.delete(id);
+    }
+    setGauges(jobs);
+  }
+
+  function reviewSuspects(jobs: readonly Job[]): void {
+    const found = findSuspects({
+      jobs,
+      now: Date.now(),
+      boots: watches.boots(),
+    });
+    for (const {hostId, cause} of found) {
+      if (suspects.has(hostId)) continue;
+      telemetry.decide({
+        kind: DecisionKind.Quarantine,
+        subject: hostId,
+        pool,
+        cause: `${cause}; it gets no new long work`,
+        inputs: {term},
+      });
+      context.onSuspect?.(hostId, cause);
+    }
+    suspects = new Set(found.map(({hostId}) => hostId));
+  }
+
+  function reviewDue(job: Job): void {
+    const late = !isFinal(job.state) && Date.now() > job.dueAt;
+    if (!late) {
+      overdue.delete(job.id);
+      return;
+    }
+    if (overdue.has(job.id)) return;
+    overdue.add(job.id);
+    telemetry.decide({
+      kind: DecisionKind.Overdue,
+      subject: job.id,
+      pool,
+      cause: `${job.id} is overdue and ${job.state}: ${job.cause}`,
+      inputs: {term, state: job.state, attempts: job.attempts.length},
+    });
+  }
+
+  function hasStalled(
+    jobId: string,
+    attempt: number,
+    progress: number,
+  ): boolean {
+    const now = performance.now();
+    const known = progresses.get(jobId);
+    if (known?.attempt !== attempt || known.progress !== progress) {
+      progresses.set(jobId, {attempt, progress, since: now, reported: false});
+      return false;
+    }
+    if (known.reported || now - known.since < STALL_MS) return false;
+    known.reported = true;
+    return true;
+  }
+
+  function stall(jobId: string, attempt: number): void {
+    const job = mirror.entries.get().get(`jobs/${pool}/${jobId}`)?.value;
+    if (!job || !isActive(job.state)) return;
+    const hostId = job.attempts.at(-1)?.hostId ?? '';
+    telemetry.decide({
+      kind: DecisionKind.Stall,
+      subject: jobId,
+      pool,
+      cause: job.idempotent
+        ? `${jobId} makes no progress on ${hostId} and is stopped to start elsewhere`
+        : `${jobId} makes no progress on ${hostId}; an operator decides, since it may run only once`,
+      inputs: {term, attempt},
+    });
+    const host = watches.get(hostId)?.host;
+    if (!job.idempotent || !host) return;
+    void workers
+      .orderTask(host, jobId, attempt, term, TaskOrder.Stop)
+      .then(() => poller.hurry(hostId));
+  }
+
+  function setGauges(jobs: readonly Job[]): void {
+    const count = (holds: (job: Job) => boolean) => jobs.filter(holds).length;
+    telemetry.gauge(
+      'jobs_waiting',
+      'Long jobs that wait for a worker.',
+      pool,
+      count(job => isWaiting(job.state)),
+    );
+    telemetry.gauge(
+      'jobs_active',
+      'Long jobs that start or run.',
+      pool,
+      count(job => isActive(job.state)),
+    );
+    telemetry.gauge(
+      'jobs_held',
+      'Long jobs that wait for an operator.',
+      pool,
+      count(job => job.state === JobState.Held),
+    );
+    telemetry.gauge(
+      'jobs_overdue',
+      'Long jobs that are past their due time and not finished.',
+      pool,
+      overdue.size,
+    );
+  }
+
+  return {review, getSuspects: () => suspects};
+}
--- a/src/adapters/worker/http_workers.ts
+++ b/src/adapters/worker/http_workers.ts
@@ -114,7 +114,10 @@
         return Result.err(classify(error));
       }
     },
-    report: host => control<WorkerReport>(host, 'GET', '/report'),
+    report: (host, fence) =>
+      fence
+        ? control<WorkerReport>(host, 'POST', '/report', fence)
+        : control<WorkerReport>(host, 'GET', '/report'),
     startTask: (host, start) =>
       control<TaskReport>(host, 'POST', '/tasks', start),
     orderTask: (host, jobId, attempt, term, order) =>
--- a/src/cli/commands/job.ts
+++ b/src/cli/commands/job.ts
@@ -1,8 +1,15 @@
 import type {Argv} from 'yargs';
-import {Job} from '../../types';
+import {JobRefusal, ReleaseDecision} from '../../actors/jobs';
+import {Job, JobState} from '../../types';
+import {ExitCode} from '../exit_code';
 import {createOperatorClient} from '../operator_client';
 import {Row, writeRows} from '../output';
-import {callerOptions} from './shared_options';
+import {callerOptions, clientOf, operatorOptions} from './shared_options';
+
+interface CancelAnswer {
+  readonly jobs: readonly Job[];
+  readonly refused: readonly JobRefusal[];
+}
 
 /** Adds the commands about long jobs. */
 export function addJob(yargs: Argv): Argv {
@@ -19,10 +26,13 @@
             .option('team', {type: 'string', default: ''})
             .option('idempotency-key', {type: 'string'})
             .option('idempotent', {type: 'boolean'})
-            .option('due-in', {type: 'string', default: '12h'}),
+            .option('due-in', {type: 'string', default: '12h'})
+            .option('run-time', {type: 'string', default: '1m'}),
         async options => {
-          const {input, team, idempotencyKey, idempotent, dueIn} = options;
-          const body = {input, team, idempotencyKey, idempotent, dueIn};
+          const {input, team, idempotencyKey, idempotent} = options;
+          const {dueIn, runTime} = options;
+          const given = {input, team, idempotencyKey, idempotent};
+          const body = {...given, dueIn, runTime};
           const client = createOperatorClient(options.callerUrl, undefined);
           const path = `/jobs/${options.service}`;
           const job = await client.call<Job>('POST', path, body);
@@ -35,10 +45,20 @@
         sub =>
           sub
             .options(callerOptions)
+            .option('overdue', {
+              type: 'boolean',
+              default: false,
+              describe: 'only jobs past their due time and not finished',
+            })
+            .option('state', {choices: Object.values(JobState)})
             .positional('service', {type: 'string', demandOption: true}),
         async options => {
           const client = createOperatorClient(options.callerUrl, undefined);
-          const path = `/jobs/${options.service}`;
+          const query = new URLSearchParams({
+            overdue: String(options.overdue),
+            ...(options.state && {state: options.state}),
+          });
+          const path = `/jobs/${options.service}?${query}`;
           const jobs = await client.call<Job[]>('GET', path);
           writeRows(options.output, jobs.map(rowOf), jobs);
         },
@@ -55,13 +75,44 @@
         },
       )
       .command(
-        'cancel <service> <id>',
-        'cancel one job',
-        sub => addIdentity(sub),
+        'cancel <service> <ids..>',
+        'cancel jobs',
+        sub =>
+          sub
+            .options(callerOptions)
+            .positional('service', {type: 'string', demandOption: true})
+            .positional('ids', {
+              type: 'string',
+              array: true,
+              demandOption: true,
+            }),
         async options => {
           const client = createOperatorClient(options.callerUrl, undefined);
-          const path = `/jobs/${options.service}/${options.id}`;
-          const job = await client.call<Job>('DELETE', path);
+          const path = `/jobs/${options.service}/cancel`;
+          const {ids} = options;
+          const answer = await client.call<CancelAnswer>('POST', path, {ids});
+          writeRows(options.output, answer.jobs.map(rowOf), answer);
+          if (answer.refused.length > 0) process.exit(ExitCode.Failed);
+        },
+      )
+      .command(
+        'release <service> <id>',
+        'decide about a held job',
+        sub =>
+          sub
+            .options(operatorOptions)
+            .positional('service', {type: 'string', demandOption: true})
+            .positional('id', {type: 'string', demandOption: true})
+            .option('decision', {
+              choices: Object.values(ReleaseDecision),
+              demandOption: true,
+              describe: 'run it again or give it up as failed',
+            }),
+        async options => {
+          const {service, decision} = options;
+          const path = `/v1/jobs/${options.id}/release`;
+          const body = {service, decision};
+          const job = await clientOf(options).call<Job>('POST', path, body);
           writeRows(options.output, [rowOf(job)], job);
         },
       )
--- /dev/null
+++ b/src/decisions/jobs/after_attempt.ts
@@ -0,0 +1,84 @@
+import {AttemptEnd, Job, JobState} from '../../types';
+
+/** State that follows the end of an attempt, with its cause. */
+export interface AfterAttempt {
+  readonly state: JobState;
+  readonly cause: string;
+}
+
+/** Different healthy workers on which a job fails before it is held as faulty. */
+export const FAULTY_AFTER_HOSTS = 3;
+
+/**
+ * Decides what becomes of a job after its current attempt has certainly ended.
+ *
+ * @param job the job, with the attempt as its last one
+ * @param end how the attempt ended
+ * @param suspects hosts that fail what others complete
+ */
+export function decideAfterAttempt(
+  job: Job,
+  end: AttemptEnd,
+  suspects: ReadonlySet<string>,
+): AfterAttempt {
+  const hostId = job.attempts.at(-1)?.hostId ?? '';
+  switch (end) {
+    case AttemptEnd.Done:
+      return {state: JobState.Done, cause: `done on ${hostId}`};
+    case AttemptEnd.Checkpointed:
+      return {
+        state: JobState.Checkpointed,
+        cause: `checkpointed on ${hostId}, waits for a worker`,
+      };
+    case AttemptEnd.NotStarted:
+      return {state: JobState.Waiting, cause: `${hostId} never started it`};
+    case AttemptEnd.Failed:
+      return decideAfterFailure(job, hostId, suspects);
+    case AttemptEnd.Lost:
+    case AttemptEnd.Stopped:
+      if (job.idempotent) {
+        return {
+          state: JobState.Waiting,
+          cause: `the attempt on ${hostId} was ${end}, a new one is due`,
+        };
+      }
+      return {
+        state: JobState.Held,
+        cause: `the attempt on ${hostId} was ${end} with unknown outcome and the job is not idempotent`,
+      };
+  }
+}
+
+function decideAfterFailure(
+  job: Job,
+  hostId: string,
+  suspects: ReadonlySet<string>,
+): AfterAttempt {
+  if (!job.idempotent) {
+    return {state: JobState.Failed, cause: `failed on ${hostId}`};
+  }
+  const failedOn = new Set(failedHosts(job));
+  failedOn.add(hostId);
+  const healthy = [...failedOn].filter(id => !suspects.has(id));
+  if (healthy.length < FAULTY_AFTER_HOSTS) {
+    return {
+      state: JobState.Waiting,
+      cause: `failed on ${hostId}, a new attempt is due elsewhere`,
+    };
+  }
+  return {
+    state: JobState.Held,
+    cause: `faulty: failed on ${healthy.join(', ')}`,
+  };
+}
+
+/**
+ * Returns the hosts on which a job has failed.
+ *
+ * @param job the job
+ */
+export function failedHosts(job: Job): readonly string[] {
+  return job.attempts
+    .filter(attempt => attempt.end === AttemptEnd.Failed)
+    .map(attempt => attempt.hostId);
+}
--- a/src/decisions/jobs/index.ts
+++ b/src/decisions/jobs/index.ts
@@ -1,3 +1,11 @@
 /** Decisions about long jobs. */
-export * from './choose_worker';
+export * from './after_attempt';
+export * from './check_satisfiable';
+export * from './choose_victims';
+export * from './estimates';
+export * from './find_suspects';
+export * from './has_lapsed';
+export * from './order_jobs';
+export * from './placement_gate';
+export * from './plan_placements';
 export * from './transitions';
--- /dev/null
+++ b/src/decisions/jobs/plan_placements.ts
@@ -0,0 +1,193 @@
+import {Host, Job} from '../../types';
+import {failedHosts} from './after_attempt';
+import {Estimate} from './estimates';
+import {orderJobs} from './order_jobs';
+
+/** A host with the room that it has left. */
+export interface HostRoom {
+  readonly host: Host;
+  readonly slots: number;
+  readonly processors: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+  /** True if it is next in a wave: taken only if nothing else has room. */
+  readonly avoided: boolean;
+}
+
+/** A job that takes a host's room. */
+export interface Placement {
+  readonly job: Job;
+  readonly hostId: string;
+  readonly estimate: Estimate;
+}
+
+/** What one round of placement rests on. */
+export interface PlacementInputs {
+  readonly now: number;
+  readonly waiting: readonly Job[];
+  readonly rooms: readonly HostRoom[];
+  readonly estimate: (job: Job) => Estimate;
+  /** Slots that each team's jobs hold now. */
+  readonly teamSlots: ReadonlyMap<string, number>;
+  /** Share of the pool's slots that each team may hold under contention. */
+  readonly teamQuotas: Readonly<Record<string, number>>;
+  readonly totalSlots: number;
+  /** Slots that long work may take in this round. */
+  readonly placeable: number;
+  /** Most placements of this round. */
+  readonly limit: number;
+}
+
+interface Room {
+  readonly host: Host;
+  readonly avoided: boolean;
+  slots: number;
+  processors: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+/** Wait after which a job that fits nowhere gets a host kept free for it. */
+const KEEP_HOST_AFTER_MS = 30_000;
+
+/**
+ * Plans one round: which waiting jobs start where.
+ *
+ * Jobs go in order of their latest start, those of teams within their quota
+ * first. Each goes to the host that it fills best, away from the racks and
+ * availability zones that this round has filled.
+ *
+ * @param inputs waiting jobs, room, estimates and quotas
+ */
+export function planPlacements(inputs: PlacementInputs): readonly Placement[] {
+  const rooms: Room[] = inputs.rooms.map(room => ({...room}));
+  const teamSlots = new Map(inputs.teamSlots);
+  const filled = new Map<string, number>();
+  const placements: Placement[] = [];
+  const overQuota: Job[] = [];
+  let left = inputs.placeable;
+  let free = rooms.reduce((sum, room) => sum + Math.max(0, room.slots), 0);
+  let keepsHost = false;
+
+  function tryPlace(job: Job): void {
+    const estimate = inputs.estimate(job);
+    const room = findRoom(job, estimate, rooms, filled);
+    if (!room) {
+      keepHost(job);
+      return;
+    }
+    const {slots} = job.size;
+    take(room, estimate);
+    left -= slots;
+    free -= slots;
+    teamSlots.set(job.team, (teamSlots.get(job.team) ?? 0) + slots);
+    for (const domain of domainsOf(room.host)) {
+      filled.set(domain, (filled.get(domain) ?? 0) + slots);
+    }
+    placements.push({job, hostId: room.host.id, estimate});
+  }
+
+  function keepHost(job: Job): void {
+    const waits = inputs.now - job.submittedAt > KEEP_HOST_AFTER_MS;
+    if (keepsHost || !waits || job.size.slots <= 1) return;
+    const host = rooms
+      .filter(room => room.host.slots >= job.size.slots)
+      .sort((a, b) => b.slots - a.slots)[0];
+    if (!host) return;
+    keepsHost = true;
+    free -= host.slots;
+    host.slots = 0;
+  }
+
+  function isOverQuota(job: Job): boolean {
+    const quota = inputs.teamQuotas[job.team];
+    if (quota === undefined) return false;
+    const held = (teamSlots.get(job.team) ?? 0) + job.size.slots;
+    return held > quota * inputs.totalSlots;
+  }
+
+  for (const job of orderJobs(inputs.waiting, inputs.estimate, inputs.now)) {
+    if (free <= 0 || placements.length >= inputs.limit) break;
+    if (job.size.slots > left) continue;
+    if (isOverQuota(job)) overQuota.push(job);
+    else tryPlace(job);
+  }
+  for (const job of overQuota) {
+    if (free <= 0 || placements.length >= inputs.limit) break;
+    if (job.size.slots <= left) tryPlace(job);
+  }
+  return placements;
+}
+
+function findRoom(
+  job: Job,
+  estimate: Estimate,
+  rooms: readonly Room[],
+  filled: ReadonlyMap<string, number>,
+): Room | undefined {
+  const failedOn = failedHosts(job);
+  let best: Room | undefined;
+  let bestScore = Infinity;
+  for (const room of rooms) {
+    if (!fits(estimate, room)) continue;
+    const score = scoreOf(job, estimate, room, failedOn, filled);
+    if (score >= bestScore) continue;
+    best = room;
+    bestScore = score;
+  }
+  return best;
+}
+
+function fits({size}: Estimate, room: Room): boolean {
+  return (
+    size.slots <= room.slots &&
+    Math.min(size.processors, room.host.processors) <= room.processors &&
+    Math.min(size.memoryMb, room.host.memoryMb) <= room.memoryMb &&
+    size.accelerators <= room.accelerators
+  );
+}
+
+const FAILED_HERE = 1_000_000;
+const AVOIDED = 100_000;
+const WASTED_ACCELERATOR = 10_000;
+const DOMAIN_WEIGHT = 10;
+
+/** Scores a host for a job; the lowest is the best. */
+function scoreOf(
+  job: Job,
+  estimate: Estimate,
+  room: Room,
+  failedOn: readonly string[],
+  filled: ReadonlyMap<string, number>,
+): number {
+  let score = 0;
+  if (failedOn.includes(room.host.id)) score += FAILED_HERE;
+  if (room.avoided) score += AVOIDED;
+  if (estimate.size.accelerators === 0 && room.accelerators > 0) {
+    score += WASTED_ACCELERATOR;
+  }
+  for (const domain of domainsOf(room.host)) {
+    score += (filled.get(domain) ?? 0) * DOMAIN_WEIGHT;
+  }
+  score += room.slots - job.size.slots;
+  score += unevenness(estimate, room);
+  return score;
+}
+
+/** Tells how unevenly processors and memory would be left, 0 to 1. */
+function unevenness({size}: Estimate, room: Room): number {
+  const processors = (room.processors - size.processors) / room.host.processors;
+  const memory = (room.memoryMb - size.memoryMb) / room.host.memoryMb;
+  return Math.abs(processors - memory);
+}
+
+function domainsOf(host: Host): readonly string[] {
+  return [host.rack, host.availabilityZone];
+}
+
+function take(room: Room, {size}: Estimate): void {
+  room.slots -= size.slots;
+  room.processors -= Math.min(size.processors, room.host.processors);
+  room.memoryMb -= Math.min(size.memoryMb, room.host.memoryMb);
+  room.accelerators -= size.accelerators;
+}
--- a/src/decisions/jobs/transitions.ts
+++ b/src/decisions/jobs/transitions.ts
@@ -11,6 +11,7 @@
     ],
     [JobState.Starting]: [
       JobState.Running,
+      JobState.Checkpointed,
       JobState.Waiting,
       JobState.Done,
       JobState.Failed,
@@ -30,7 +31,7 @@
       JobState.Cancelled,
       JobState.Held,
     ],
-    [JobState.Held]: [JobState.Waiting, JobState.Cancelled],
+    [JobState.Held]: [JobState.Waiting, JobState.Failed, JobState.Cancelled],
     [JobState.Done]: [],
     [JobState.Failed]: [],
     [JobState.Cancelled]: [],
@@ -54,3 +55,21 @@
 export function isFinal(state: JobState): boolean {
   return JOB_TRANSITIONS[state].length === 0;
 }
+
+/**
+ * Tells whether a job's last attempt may be running.
+ *
+ * @param state the job's state
+ */
+export function isActive(state: JobState): boolean {
+  return state === JobState.Starting || state === JobState.Running;
+}
+
+/**
+ * Tells whether a job waits for its next attempt.
+ *
+ * @param state the job's state
+ */
+export function isWaiting(state: JobState): boolean {
+  return state === JobState.Waiting || state === JobState.Checkpointed;
+}
--- a/src/http/callers/job_routes.ts
+++ b/src/http/callers/job_routes.ts
@@ -1,25 +1,38 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
-import {JobCalls} from '../../actors/jobs';
+import type {ZodError} from 'zod';
+import {JobCalls, JobRefusal} from '../../actors/jobs';
 import {parseDuration} from '../../profiles';
 import {Job, Outcome, RefusalReason} from '../../types';
 import {readJson, sendJson, sendProblem} from '../shared';
-import {dueAtOf, jobSchema} from './job_schema';
+import {createJobFilter} from './job_filter';
+import {cancelSchema, dueAtOf, jobSchema} from './job_schema';
 
 const MAX_BODY_BYTES = 131_072;
 
-/** Answers POST and GET /jobs/SERVICE, GET and DELETE /jobs/SERVICE/ID. */
+/**
+ * Answers the callers' calls about long jobs.
+ *
+ * POST and GET /jobs/SERVICE, POST /jobs/SERVICE/cancel, GET and DELETE
+ * /jobs/SERVICE/ID; a list takes "?overdue=true" and "?state=STATE".
+ */
 export async function answerJobCall(
   jobs: JobCalls,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const [, , service, id] = (request.url ?? '/').split('/');
+  const [path, query] = (request.url ?? '/').split('?');
+  const [, , service, id] = path.split('/');
   if (request.method === 'POST' && !id) {
     return submit(jobs, service, request, response);
   }
   if (request.method === 'GET' && !id) {
-    return sendResult(response, await jobs.list(service), 200);
+    const filter = createJobFilter(new URLSearchParams(query));
+    const listed = await jobs.list(service);
+    return sendResult(response, listed.map(filter), 200);
+  }
+  if (request.method === 'POST' && id === 'cancel') {
+    return cancelMany(jobs, service, request, response);
   }
   if (request.method === 'GET') {
     return sendResult(response, await jobs.get(service, id), 200);
@@ -42,16 +55,7 @@
 ): Promise<void> {
   const body = await readJson<unknown>(request, MAX_BODY_BYTES);
   const checked = jobSchema.safeParse(body);
-  if (!checked.success) {
-    return sendProblem(response, {
-      reason: RefusalReason.BadRequest,
-      outcome: Outcome.NotRun,
-      findings: checked.error.issues.map(issue => ({
-        place: issue.path.map(String).join('.') || 'body',
-        message: issue.message,
-      })),
-    });
-  }
+  if (!checked.success) return refuseBody(response, checked.error);
   const {dueIn, runTime, ...rest} = checked.data;
   const result = await jobs.submit({
     ...rest,
@@ -62,15 +66,44 @@
   sendResult(response, result, 202);
 }
 
+async function cancelMany(
+  jobs: JobCalls,
+  service: string,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readJson<unknown>(request, MAX_BODY_BYTES);
+  const checked = cancelSchema.safeParse(body);
+  if (!checked.success) return refuseBody(response, checked.error);
+  const answers = await jobs.cancelMany(service, checked.data.ids);
+  sendJson(response, 200, {
+    jobs: answers.flatMap(answer => (answer.isOk ? [answer.value] : [])),
+    refused: answers.flatMap(answer => (answer.isErr ? [answer.error] : [])),
+  });
+}
+
+function refuseBody(response: ServerResponse, error: ZodError): void {
+  sendProblem(response, {
+    reason: RefusalReason.BadRequest,
+    outcome: Outcome.NotRun,
+    findings: error.issues.map(issue => ({
+      place: issue.path.map(String).join('.') || 'body',
+      message: issue.message,
+    })),
+  });
+}
+
 function sendResult(
   response: ServerResponse,
-  result: Result<Job | readonly Job[], RefusalReason>,
+  result: Result<Job | readonly Job[], JobRefusal>,
   status: number,
 ): void {
   if (result.isOk) return sendJson(response, status, result.value);
-  const unknown = result.error === RefusalReason.OutcomeUnknown;
+  const {reason, findings} = result.error;
+  const unknown = reason === RefusalReason.OutcomeUnknown;
   sendProblem(response, {
-    reason: result.error,
+    reason,
+    findings,
     outcome: unknown ? Outcome.Unknown : Outcome.NotRun,
   });
 }
--- a/src/http/callers/job_schema.ts
+++ b/src/http/callers/job_schema.ts
@@ -26,6 +26,11 @@
     .prefault({}),
 });
 
+/** Body of POST /jobs/SERVICE/cancel. */
+export const cancelSchema = z.strictObject({
+  ids: z.array(z.string().min(1).max(128)).min(1).max(1_000),
+});
+
 /** Reads the time that a job is due. */
 export function dueAtOf(dueIn: string): number {
   return Date.now() + (parseDuration(dueIn) ?? DAY_MS);
--- a/src/http/operators/index.ts
+++ b/src/http/operators/index.ts
@@ -1,4 +1,5 @@
 /** The operators' port. */
+export * from './job_routes';
 export * from './operators_handle';
 export * from './profile_routes';
 export * from './route';
--- /dev/null
+++ b/src/ports/task_name.ts
@@ -0,0 +1,5 @@
+/** One attempt of one job. */
+export interface TaskName {
+  readonly jobId: string;
+  readonly attempt: number;
+}
--- a/src/ports/task_report.ts
+++ b/src/ports/task_report.ts
@@ -1,3 +1,4 @@
+import {TaskUsage} from '../types';
 import {TaskState} from './task_state';
 
 /** A worker's word about one task. */
@@ -10,5 +11,7 @@
   readonly progress: number;
   readonly checkpoint?: string;
   readonly result?: string;
+  /** Most that the task was seen to use; lags. */
+  readonly usage?: TaskUsage;
   readonly cause?: string;
 }
--- a/src/ports/task_start.ts
+++ b/src/ports/task_start.ts
@@ -9,6 +9,10 @@
   readonly term: number;
   /** The worker stops the task if no renewal comes for this long. */
   readonly leaseMs: number;
+  /** The worker refuses the start if it has rebooted since this boot. */
+  readonly bootNumber?: number;
+  /** Wall-clock time in ms since the epoch after which the worker refuses the start. */
+  readonly startBefore?: number;
   readonly size: JobSize;
   readonly input: string;
   readonly checkpoint?: string;
--- a/src/ports/task_state.ts
+++ b/src/ports/task_state.ts
@@ -8,4 +8,6 @@
   Stopped = 'stopped',
   /** The lease was not renewed in time; the worker stopped the task. */
   Lapsed = 'lapsed',
+  /** Never started; a stop of an unknown attempt forbids it to start later. */
+  NotStarted = 'not-started',
 }
--- a/src/ports/workers.ts
+++ b/src/ports/workers.ts
@@ -1,5 +1,6 @@
 import type {Result} from 'true-myth/result';
 import {Host} from '../types';
+import {PoolFence} from './pool_fence';
 import {TaskOrder} from './task_order';
 import {TaskReport} from './task_report';
 import {TaskStart} from './task_start';
@@ -15,14 +16,26 @@
     host: Host,
     request: WorkerRequest,
   ): Promise<Result<WorkerResponse, WorkerFailure>>;
-  /** Asks a worker for its state and tasks. */
-  report(host: Host): Promise<Result<WorkerReport, WorkerFailure>>;
+  /**
+   * Asks a worker for its state and tasks.
+   *
+   * With a fence, the worker refuses every lower term of the pool from then on
+   * and renews the leases of the tasks that the fence names.
+   */
+  report(
+    host: Host,
+    fence?: PoolFence,
+  ): Promise<Result<WorkerReport, WorkerFailure>>;
   /** Starts a task; repeated with the same job, attempt and term it changes nothing. */
   startTask(
     host: Host,
     start: TaskStart,
   ): Promise<Result<TaskReport, WorkerFailure>>;
-  /** Gives an order for a task under a term. */
+  /**
+   * Gives an order for a task under a term.
+   *
+   * The stop of an unknown attempt forbids the worker to start it later.
+   */
   orderTask(
     host: Host,
     jobId: string,
--- a/src/stand_ins/worker/memory_workers.ts
+++ b/src/stand_ins/worker/memory_workers.ts
@@ -46,7 +46,10 @@
         ]),
       });
     },
-    report: async host => find(host).map(model => model.report()),
+    report: async (host, fence) =>
+      find(host).andThen(model =>
+        fence ? model.reportTo(fence) : Result.ok(model.report()),
+      ),
     startTask: async (host, start) =>
       find(host).andThen(model => model.startTask(start)),
     orderTask: async (host, jobId, attempt, term, order) =>
--- a/src/stand_ins/worker/worker_model.ts
+++ b/src/stand_ins/worker/worker_model.ts
@@ -1,5 +1,7 @@
 import {Result} from 'true-myth';
 import {
+  PoolFence,
+  TaskName,
   TaskOrder,
   TaskReport,
   TaskStart,
@@ -9,6 +11,14 @@
 } from '../../ports';
 import {Host} from '../../types';
 import {RunRecord} from './run_record';
+import {
+  Task,
+  createTask,
+  isFaulty,
+  reportNotStarted,
+  taskKey,
+  usageOf,
+} from './task';
 import {WorkerFaults, createWorkerFaults} from './worker_faults';
 
 /** A worker's behaviour without any transport: slots, tasks under leases, drain and reboot. */
@@ -27,6 +37,8 @@
     idempotencyKey?: string,
   ): Result<(completed: boolean) => void, WorkerFailure>;
   report(): WorkerReport;
+  /** Fences lower terms, renews the named tasks and reports. */
+  reportTo(fence: PoolFence): Result<WorkerReport, WorkerFailure>;
   startTask(start: TaskStart): Result<TaskReport, WorkerFailure>;
   orderTask(
     jobId: string,
@@ -40,26 +52,11 @@
   dispose(): void;
 }
 
-interface Task {
-  readonly start: TaskStart;
-  readonly run: RunRecord;
-  readonly durationMs: number;
-  state: TaskState;
-  /** Work done up to the last change of state, 0 to 1. */
-  progress: number;
-  resumedAt: number;
-  leaseTimer: NodeJS.Timeout;
-  endTimer?: NodeJS.Timeout;
-}
-
 const ACTIVE_TASK_STATES: readonly TaskState[] = [
   TaskState.Running,
   TaskState.Throttled,
 ];
 
-/** Run time of a task whose input states none, in ms. */
-const DEFAULT_TASK_MS = 1_000;
-
 /** Options of a worker. */
 export interface WorkerOptions {
   readonly host: Host;
@@ -80,6 +77,8 @@
   const runs: RunRecord[] = [];
   const tasks = new Map<string, Task>();
   const terms = new Map<string, number>();
+  /** Attempts that were stopped before they started. */
+  const forbidden = new Set<string>();
   let requests = 0;
   let slotsPeak = 0;
   let draining = false;
@@ -123,6 +122,7 @@
           ? `${jobId} done on ${host.id}`
           : undefined,
       cause: task.state === TaskState.Failed ? 'the task failed' : undefined,
+      usage: usageOf(task),
     };
   }
 
@@ -158,6 +158,21 @@
     task.leaseTimer.unref?.();
   }
 
+  function isExpired(start: TaskStart, key: string): boolean {
+    if (forbidden.has(key)) return true;
+    if (start.bootNumber !== undefined && start.bootNumber !== bootNumber) {
+      return true;
+    }
+    return start.startBefore !== undefined && Date.now() > start.startBefore;
+  }
+
+  function renewTasks(names: readonly TaskName[]): void {
+    for (const {jobId, attempt} of names) {
+      const task = tasks.get(taskKey(jobId, attempt));
+      if (task && ACTIVE_TASK_STATES.includes(task.state)) renewLease(task);
+    }
+  }
+
   function isFenced(pool: string, term: number): boolean {
     const highest = terms.get(pool) ?? 0;
     if (term < highest) return true;
@@ -193,6 +208,24 @@
   function loseEverything(): void {
     for (const task of activeTasks()) endTask(task, TaskState.Stopped);
     tasks.clear();
+    terms.clear();
+    forbidden.clear();
+  }
+
+  function report(): WorkerReport {
+    return {
+      hostId: host.id,
+      leaving,
+      draining,
+      slots: host.slots,
+      slotsUsed: slotsUsed(),
+      connections: host.connections,
+      connectionsUsed: 0,
+      bootNumber,
+      processorsUsed: slotsUsed(),
+      memoryUsedMb: slotsUsed() * 1024,
+      tasks: [...tasks.values()].map(reportTask),
+    };
   }
 
   return {
@@ -224,19 +257,13 @@
         run.completed = completed;
       });
     },
-    report: () => ({
-      hostId: host.id,
-      leaving,
-      draining,
-      slots: host.slots,
-      slotsUsed: slotsUsed(),
-      connections: host.connections,
-      connectionsUsed: 0,
-      bootNumber,
-      processorsUsed: slotsUsed(),
-      memoryUsedMb: slotsUsed() * 1024,
-      tasks: [...tasks.values()].map(reportTask),
-    }),
+    report,
+    reportTo({pool, term, renew}) {
+      if (!isUp()) return Result.err(WorkerFailure.ConnectFailed);
+      if (isFenced(pool, term)) return Result.err(WorkerFailure.Fenced);
+      renewTasks(renew);
+      return Result.ok(report());
+    },
     startTask(start) {
       if (!isUp()) return Result.err(WorkerFailure.ConnectFailed);
       if (isFenced(start.pool, start.term)) {
@@ -245,6 +272,7 @@
       const key = taskKey(start.jobId, start.attempt);
       const known = tasks.get(key);
       if (known) return Result.ok(reportTask(known));
+      if (isExpired(start, key)) return Result.err(WorkerFailure.Fenced);
       if (draining || leaving) return Result.err(WorkerFailure.Leaving);
       if (slotsUsed() + start.size.slots > host.slots) {
         return Result.err(WorkerFailure.Busy);
@@ -254,13 +282,17 @@
       runs.push(task.run);
       renewLease(task);
       resumeTask(task);
-      if (faults.failAll) endTask(task, TaskState.Failed);
+      if (faults.failAll || isFaulty(start)) endTask(task, TaskState.Failed);
       notePeak();
       return Result.ok(reportTask(task));
     },
     orderTask(jobId, attempt, term, order) {
       if (!isUp()) return Result.err(WorkerFailure.ConnectFailed);
       const task = tasks.get(taskKey(jobId, attempt));
+      if (!task && order === TaskOrder.Stop) {
+        forbidden.add(taskKey(jobId, attempt));
+        return Result.ok(reportNotStarted(jobId, attempt, term));
+      }
       if (!task) return Result.err(WorkerFailure.Fenced);
       if (isFenced(task.start.pool, term)) {
         return Result.err(WorkerFailure.Fenced);
@@ -294,30 +326,3 @@
     },
   };
 }
-
-function createTask(start: TaskStart, hostId: string): Task {
-  return {
-    start,
-    run: {
-      id: taskKey(start.jobId, start.attempt),
-      hostId,
-      startedAt: Date.now(),
-      completed: false,
-    },
-    durationMs: durationOf(start.input),
-    state: TaskState.Running,
-    progress: start.checkpoint ? Number(start.checkpoint) : 0,
-    resumedAt: Date.now(),
-    leaseTimer: setTimeout(() => {}, 0),
-  };
-}
-
-function taskKey(jobId: string, attempt: number): string {
-  return `${jobId}#${attempt}`;
-}
-
-/** Reads "work-ms=N" from a task's input. */
-function durationOf(input: string): number {
-  const match = /work-ms=(\d+)/.exec(input);
-  return match ? Number(match[1]) : DEFAULT_TASK_MS;
-}
--- a/src/stand_ins/worker/worker_server.ts
+++ b/src/stand_ins/worker/worker_server.ts
@@ -2,7 +2,7 @@
 import {AddressInfo, Socket} from 'node:net';
 import {Result} from 'true-myth';
 import {readBody, readJson, sendJson} from '../../http/shared';
-import {TaskOrder, TaskStart, WorkerFailure} from '../../ports';
+import {PoolFence, TaskOrder, TaskStart, WorkerFailure} from '../../ports';
 import {delay} from '../../state';
 import {WorkerModel} from './worker_model';
 
@@ -138,8 +138,13 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  if (url === '/report') return sendJson(response, 200, model.report());
+  if (url === '/report' && request.method === 'GET') {
+    return sendJson(response, 200, model.report());
+  }
   const body = await readJson<Record<string, unknown>>(request, MAX_BODY_BYTES);
+  if (url === '/report') {
+    return sendResult(response, model.reportTo(body as unknown as PoolFence));
+  }
   if (url === '/tasks') {
     const started = model.startTask(body as unknown as TaskStart);
     return sendResult(response, started);
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,4 +1,5 @@
 /** Data that the whole program shares. */
+export * from './attempt_end';
 export * from './configuration';
 export * from './decision';
 export * from './decision_kind';
@@ -22,6 +23,7 @@
 export * from './retry_reason';
 export * from './selector';
 export * from './selector_kind';
+export * from './task_usage';
 export * from './unavailability';
 export * from './wave';
 export * from './wave_state';
--- a/src/types/retry_reason.ts
+++ b/src/types/retry_reason.ts
@@ -8,4 +8,8 @@
   Truncated = 'truncated',
   Mismatched = 'mismatched',
   WorkerFailed = 'worker-failed',
+  TaskFailed = 'task-failed',
+  TaskLost = 'task-lost',
+  TaskNotStarted = 'task-not-started',
+  TaskStopped = 'task-stopped',
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -122,6 +122,7 @@
       store,
       telemetry,
       configuration: configuration.current,
+      getPoolHosts: view.getPoolHosts,
     }),
     requests,
     handlers: [
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,6 +1,7 @@
 import {createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createJobReleaseRoutes,
   createOperatorsHandle,
   createProfileRoutes,
   createStatusRoutes,
@@ -64,6 +65,7 @@
       [
         ...createProfileRoutes(core.configuration),
         ...createWaveRoutes(core.waves),
+        ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -1,7 +1,7 @@
 import {ActorSystemRef} from 'nact';
 import {ConfigurationActor} from '../actors/configuration';
 import {FleetView, createPoolFleetActor} from '../actors/fleet';
-import {createPoolJobsActor} from '../actors/jobs';
+import {Caretaker, createPoolJobsActor} from '../actors/jobs';
 import {createPoolSlots} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
@@ -25,16 +25,20 @@
 interface Led {
   readonly term: number;
   readonly dispose: () => void;
+  /** Stops leading, but keeps the tasks of long work alive. */
+  readonly resign: () => Caretaker;
 }
 
 /** Starts and stops the leader's actors of each pool as leaderships come and go. */
 export function createPoolLeaders(options: PoolLeadersOptions): PoolLeaders {
   const running = new Map<string, Led>();
+  const caretakers = new Map<string, Caretaker>();
 
   function follow(led: ReadonlyMap<string, number>): void {
     for (const [pool, known] of running) {
       if (led.get(pool) === known.term) continue;
-      known.dispose();
+      caretakers.get(pool)?.dispose();
+      caretakers.set(pool, known.resign());
       running.delete(pool);
     }
     for (const [pool, term] of led) {
@@ -46,21 +50,31 @@
     const {system, outside, telemetry, view, configuration} = options;
     const {store, workers} = outside;
     const shared = {system, store, workers, telemetry, pool, term};
-    const fleet = createPoolFleetActor({
-      ...shared,
-      view,
-      getProfile: () =>
-        configuration.current.get()?.profiles.find(p => p.pool === pool),
-    });
+    const getProfile = () =>
+      configuration.current.get()?.profiles.find(p => p.pool === pool);
+    const fleet = createPoolFleetActor({...shared, view, getProfile});
     const getHosts = () => view.getPoolHosts(pool);
     const slots = createPoolSlots(getHosts);
-    const jobs = createPoolJobsActor({...shared, getHosts, slots});
+    const jobs = createPoolJobsActor({
+      ...shared,
+      getHosts,
+      slots,
+      getProfile,
+    });
+    const disposeOthers = () => {
+      fleet.dispose();
+      slots.dispose();
+    };
     return {
       term,
       dispose() {
-        fleet.dispose();
         jobs.dispose();
-        slots.dispose();
+        disposeOthers();
+      },
+      resign() {
+        const caretaker = jobs.resign();
+        disposeOthers();
+        return caretaker;
       },
     };
   }
@@ -70,7 +84,8 @@
   return {
     dispose() {
       stopFollowing();
-      follow(new Map());
+      for (const known of running.values()) known.dispose();
+      for (const caretaker of caretakers.values()) caretaker.dispose();
     },
   };
 }
