Check long work under random interleavings of leaders and faults

Cause: the promises of long work had no proof under overlapping leaders, lapsed leases, late starts, lost answers, reboots and an absent store.

Change: a history checker (lost, unfinished, overlap, ran-again, repeated attempt, false-done, forgotten, unknown) with a planted fault for each, and a model test that drives up to four leaders over the real actors.

Failures now count once per job and host, jobs that fail on several workers prove nothing, at most a quarter of a pool is suspect, and six failures hold a job.

--- /dev/null
+++ b/features/jobs/job_pool.ts
@@ -0,0 +1,183 @@
+import {start, stop} from 'nact';
+import {
+  Caretaker,
+  JobCalls,
+  PoolJobsActor,
+  PoolJobsOptions,
+  createJobCalls,
+  createPoolJobsActor,
+} from '../../src/actors/jobs';
+import {PoolSlots, createPoolSlots} from '../../src/actors/slots';
+import {JobHistory, toJobRun} from '../../src/history/jobs';
+import {Store} from '../../src/ports';
+import {
+  CallKind,
+  createKeyValue,
+  createMemoryStore,
+  createStoreFaults,
+} from '../../src/stand_ins/platform';
+import {createHost, createProfiles, findSite} from '../../src/stand_ins/site';
+import {
+  WorkerModel,
+  createMemoryWorkers,
+  createWorkerModel,
+} from '../../src/stand_ins/worker';
+import {createSnapshot} from '../../src/state';
+import {LogLevel, Telemetry, createTelemetry} from '../../src/telemetry';
+import {
+  Configuration,
+  Host,
+  HostState,
+  Job,
+  PoolHost,
+  Profile,
+} from '../../src/types';
+import {Gate, createGate, gateStore, gateWorkers} from './gated_ports';
+
+/** One leader of the pool, with faults of its own. */
+export interface JobLeader {
+  readonly term: number;
+  readonly gate: Gate;
+  readonly telemetry: Telemetry;
+  readonly slots: PoolSlots;
+  readonly jobs: PoolJobsActor;
+  dispose(): void;
+  resign(): void;
+}
+
+/** One pool's jobs with their store, workers and leaders, in memory. */
+export interface JobPool {
+  readonly calls: JobCalls;
+  readonly store: Store;
+  readonly storeFaults: ReturnType<typeof createStoreFaults>;
+  readonly workers: readonly WorkerModel[];
+  readonly leaders: readonly JobLeader[];
+  readonly hosts: Host[];
+  readonly states: Map<string, HostState>;
+  readonly telemetry: Telemetry;
+  /** Writes to the store so far. */
+  countWrites(): number;
+  /** Starts one more leader under the next term; earlier ones go on. */
+  addLeader(options?: Partial<PoolJobsOptions>): JobLeader;
+  readJobs(): readonly Job[];
+  readHistory(accepted: JobHistory['accepted']): JobHistory;
+  dispose(): void;
+}
+
+/** Options of a pool in memory. */
+export interface JobPoolOptions {
+  readonly workers: number;
+  readonly slots: number;
+  readonly profile?: Partial<Profile>;
+  readonly host?: Partial<Host>;
+}
+
+const REBOOT_MS = 2_000;
+export const POOL = 'dish-desk';
+
+/** Creates a pool in memory; the clock must be paused. */
+export function createJobPool(options: JobPoolOptions): JobPool {
+  const site = findSite('orbitica');
+  const sitePool = site.pools.find(({name}) => name === POOL)!;
+  const profile = {
+    ...createProfiles(site).find(({pool}) => pool === POOL)!,
+    ...options.profile,
+  };
+  const keyValue = createKeyValue();
+  const storeFaults = createStoreFaults();
+  let writes = 0;
+  const store = createMemoryStore(keyValue, storeFaults, Math.random, kind => {
+    if (kind === CallKind.Write) writes += 1;
+  });
+  const hosts = Array.from({length: options.workers}, (_, i) => ({
+    ...createHost(site, sitePool, i, '127.0.0.1', 0),
+    slots: options.slots,
+    ...options.host,
+  }));
+  const models = hosts.map(host =>
+    createWorkerModel({host, rebootMs: REBOOT_MS}),
+  );
+  const workers = createMemoryWorkers(
+    new Map(models.map(model => [model.host.id, model])),
+  );
+  const states = new Map<string, HostState>();
+  const telemetry = createTelemetry('caller', LogLevel.Error);
+  const system = start();
+  const leaders: JobLeader[] = [];
+  const caretakers: Caretaker[] = [];
+  const configuration = createSnapshot<Configuration | undefined>({
+    revision: 1,
+    profiles: [profile],
+  } as unknown as Configuration);
+  const getHosts = (): readonly PoolHost[] =>
+    hosts.map(host => ({
+      host,
+      state: states.get(host.id) ?? HostState.Active,
+    }));
+
+  function addLeader(extra: Partial<PoolJobsOptions> = {}): JobLeader {
+    const term = leaders.length + 1;
+    const gate = createGate();
+    const slots = extra.slots ?? createPoolSlots(getHosts);
+    const own = createTelemetry(`leader-${term}`, LogLevel.Error);
+    const jobs = createPoolJobsActor({
+      system,
+      store: gateStore(store, gate),
+      workers: gateWorkers(workers, gate),
+      telemetry: own,
+      pool: POOL,
+      term,
+      getHosts,
+      getProfile: () => profile,
+      ...extra,
+      slots,
+    });
+    const leader: JobLeader = {
+      term,
+      gate,
+      telemetry: own,
+      slots,
+      jobs,
+      dispose: jobs.dispose,
+      resign: () => void caretakers.push(jobs.resign()),
+    };
+    leaders.push(leader);
+    return leader;
+  }
+
+  const readJobs = () =>
+    keyValue
+      .list(`jobs/${POOL}/`)
+      .entries.map(entry => JSON.parse(entry.value) as Job);
+
+  return {
+    calls: createJobCalls({
+      store,
+      telemetry,
+      configuration,
+      getPoolHosts: getHosts,
+    }),
+    store,
+    storeFaults,
+    workers: models,
+    leaders,
+    hosts,
+    states,
+    telemetry,
+    countWrites: () => writes,
+    addLeader,
+    readJobs,
+    readHistory: accepted => ({
+      accepted,
+      records: readJobs(),
+      runs: models.flatMap(({runs}) => runs.flatMap(r => toJobRun(r) ?? [])),
+    }),
+    dispose() {
+      leaders.forEach(leader => leader.dispose());
+      caretakers.forEach(caretaker => caretaker.dispose());
+      models.forEach(model => model.dispose());
+      stop(system);
+      keyValue.dispose();
+    },
+  };
+}
--- a/src/decisions/jobs/after_attempt.ts
+++ b/src/decisions/jobs/after_attempt.ts
@@ -9,6 +9,9 @@
 /** Different healthy workers on which a job fails before it is held as faulty. */
 export const FAULTY_AFTER_HOSTS = 3;
 
+/** Failures of a job on whatever workers before it is held as faulty. */
+const MAX_FAILURES = 6;
+
 /**
  * Decides what becomes of a job after its current attempt has certainly ended.
  *
@@ -60,7 +63,8 @@
   const failedOn = new Set(failedHosts(job));
   failedOn.add(hostId);
   const healthy = [...failedOn].filter(id => !suspects.has(id));
-  if (healthy.length < FAULTY_AFTER_HOSTS) {
+  const failures = failedHosts(job).length + 1;
+  if (healthy.length < FAULTY_AFTER_HOSTS && failures < MAX_FAILURES) {
     return {
       state: JobState.Waiting,
       cause: `failed on ${hostId}, a new attempt is due elsewhere`,
@@ -68,7 +72,7 @@
   }
   return {
     state: JobState.Held,
-    cause: `faulty: failed on ${healthy.join(', ')}`,
+    cause: `faulty: failed ${failures} times, on ${[...failedOn].join(', ')}`,
   };
 }
 
--- a/src/decisions/jobs/find_suspects.ts
+++ b/src/decisions/jobs/find_suspects.ts
@@ -1,4 +1,4 @@
-import {AttemptEnd, Job, JobState} from '../../types';
+import {Job, JobState} from '../../types';
 import {failedHosts} from './after_attempt';
 
 /** A worker that fails what others complete. */
@@ -21,6 +21,9 @@
 /** Jobs that a worker failed without completing any before it is suspect. */
 const ALL_FAILED = 3;
 
+/** Share of a pool's workers that may be suspect; beyond it the work is to blame. */
+const MAX_SHARE = 0.25;
+
 interface Record {
   failed: number;
   completedElsewhere: number;
@@ -37,39 +40,61 @@
 export function findSuspects(inputs: SuspectInputs): readonly Suspect[] {
   const records = new Map<string, Record>();
   for (const job of inputs.jobs) addJob(records, job, inputs);
-  const suspects: Suspect[] = [];
+  const suspects: (Suspect & Record)[] = [];
   for (const [hostId, record] of records) {
     const {failed, completedElsewhere, completed} = record;
     const failsAll = failed >= ALL_FAILED && completed === 0;
     if (completedElsewhere < COMPLETED_ELSEWHERE && !failsAll) continue;
     if (completed >= failed) continue;
     suspects.push({
+      ...record,
       hostId,
       cause: `${hostId} failed ${failed} jobs, ${completedElsewhere} of which others completed, and completed ${completed}`,
     });
   }
-  return suspects;
+  const most = Math.ceil(inputs.boots.size * MAX_SHARE);
+  return suspects
+    .sort((a, b) => b.failed - a.failed)
+    .slice(0, most)
+    .map(({hostId, cause}) => ({hostId, cause}));
 }
 
 function addJob(
   records: Map<string, Record>,
   job: Job,
-  {now, boots}: SuspectInputs,
+  inputs: SuspectInputs,
 ): void {
-  if (job.state === JobState.Held && failedHosts(job).length > 1) return;
   const done = job.state === JobState.Done;
-  for (const {hostId, end, endedAt, bootNumber} of job.attempts) {
-    if (endedAt === undefined || endedAt < now - WINDOW_MS) continue;
-    if (bootNumber !== boots.get(hostId)) continue;
-    const record = records.get(hostId) ?? {
-      failed: 0,
-      completedElsewhere: 0,
-      completed: 0,
-    };
-    records.set(hostId, record);
-    if (end === AttemptEnd.Done) record.completed += 1;
-    if (end !== AttemptEnd.Failed) continue;
+  const failedOn = new Set(failedHosts(job));
+  if (!done && failedOn.size > 1) return;
+  for (const hostId of failedOn) {
+    const record = find(records, job, hostId, inputs);
+    if (!record) continue;
     record.failed += 1;
     if (done) record.completedElsewhere += 1;
   }
+  if (!done) return;
+  const record = find(records, job, job.attempts.at(-1)?.hostId, inputs);
+  if (record) record.completed += 1;
+}
+
+/** Returns the record of a host that the job ran on lately, in its current boot. */
+function find(
+  records: Map<string, Record>,
+  job: Job,
+  hostId: string | undefined,
+  {now, boots}: SuspectInputs,
+): Record | undefined {
+  const recent = job.attempts.some(
+    attempt =>
+      attempt.hostId === hostId &&
+      attempt.bootNumber === boots.get(hostId) &&
+      (attempt.endedAt ?? 0) > now - WINDOW_MS,
+  );
+  if (hostId === undefined || !recent) return undefined;
+  const known = records.get(hostId);
+  if (known) return known;
+  const created = {failed: 0, completedElsewhere: 0, completed: 0};
+  records.set(hostId, created);
+  return created;
 }
--- /dev/null
+++ b/src/history/jobs/check_job_history.ts
@@ -0,0 +1,116 @@
+import {isFinal} from '../../decisions/jobs';
+import {Job, JobState} from '../../types';
+import {AcceptedJob, JobHistory, JobRun} from './job_history';
+import {JobViolation, JobViolationKind} from './job_violation';
+
+/**
+ * Finds everything that a history of jobs must not contain.
+ *
+ * @param history what was seen after everything has settled
+ */
+export function checkJobHistory(history: JobHistory): readonly JobViolation[] {
+  const records = new Map(history.records.map(job => [job.id, job]));
+  const runs = groupRuns(history.runs);
+  const accepted = new Set(history.accepted.map(({id}) => id));
+  const violations: JobViolation[] = [];
+  for (const job of history.accepted) {
+    const record = records.get(job.id);
+    const own = runs.get(job.id) ?? [];
+    violations.push(...checkRecord(job, record, own));
+    violations.push(...checkRuns(job.id, own));
+    const released = history.released?.has(job.id) ?? false;
+    if (!job.idempotent && !released && own.length > 1) {
+      violations.push({
+        kind: JobViolationKind.RanAgain,
+        jobId: job.id,
+        detail: `ran ${own.length} times: ${describe(own)}`,
+      });
+    }
+  }
+  for (const [jobId, own] of runs) {
+    if (accepted.has(jobId)) continue;
+    violations.push(...checkRuns(jobId, own));
+    if (records.has(jobId)) continue;
+    violations.push({
+      kind: JobViolationKind.Unknown,
+      jobId,
+      detail: describe(own),
+    });
+  }
+  return violations;
+}
+
+function groupRuns(
+  runs: readonly JobRun[],
+): ReadonlyMap<string, readonly JobRun[]> {
+  const grouped = new Map<string, JobRun[]>();
+  for (const run of runs) {
+    const known = grouped.get(run.jobId);
+    if (known) known.push(run);
+    else grouped.set(run.jobId, [run]);
+  }
+  for (const own of grouped.values()) {
+    own.sort((a, b) => a.startedAt - b.startedAt);
+  }
+  return grouped;
+}
+
+function checkRecord(
+  {id}: AcceptedJob,
+  record: Job | undefined,
+  runs: readonly JobRun[],
+): readonly JobViolation[] {
+  const report = (kind: JobViolationKind, detail: string) => [
+    {kind, jobId: id, detail},
+  ];
+  if (!record) return report(JobViolationKind.Lost, 'no record is left');
+  const {state, cause} = record;
+  if (!isFinal(state) && state !== JobState.Held) {
+    return report(JobViolationKind.Unfinished, `${state}: ${cause}`);
+  }
+  const completed = runs.some(run => run.completed);
+  if (state === JobState.Done && !completed) {
+    return report(JobViolationKind.FalseDone, describe(runs));
+  }
+  if (state === JobState.Failed && runs.at(-1)?.completed) {
+    return report(JobViolationKind.Forgotten, describe(runs));
+  }
+  return [];
+}
+
+function checkRuns(
+  jobId: string,
+  runs: readonly JobRun[],
+): readonly JobViolation[] {
+  const violations: JobViolation[] = [];
+  const attempts = new Set<number>();
+  let latestEnd = -Infinity;
+  for (const run of runs) {
+    if (run.startedAt < latestEnd) {
+      violations.push({
+        kind: JobViolationKind.Overlap,
+        jobId,
+        detail: describe(runs),
+      });
+    }
+    latestEnd = Math.max(latestEnd, run.endedAt ?? Infinity);
+    if (attempts.has(run.attempt)) {
+      violations.push({
+        kind: JobViolationKind.AttemptRepeated,
+        jobId,
+        detail: describe(runs),
+      });
+    }
+    attempts.add(run.attempt);
+  }
+  return violations;
+}
+
+function describe(runs: readonly JobRun[]): string {
+  return runs
+    .map(
+      ({attempt, hostId, startedAt, endedAt, completed}) =>
+        `#${attempt} on ${hostId} from ${startedAt} to ${endedAt ?? 'now'}${completed ? ' completed' : ''}`,
+    )
+    .join('; ');
+}
