--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,6 +1,7 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createJobReleaseRoutes,
   createOperatorsHandle,
   createProfileRoutes,
   createStatusRoutes,
@@ -83,6 +84,7 @@
       [
         ...createProfileRoutes(core.configuration),
         ...createWaveRoutes(core.waves),
+        ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
