--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,5 +1,6 @@
 /** Data that the whole program shares. */
 export * from './acceptance';
+export * from './attempt_end';
 export * from './configuration';
 export * from './configuration_spread';
 export * from './decision';
@@ -28,6 +29,7 @@
 export * from './retry_reason';
 export * from './selector';
 export * from './selector_kind';
+export * from './task_usage';
 export * from './unavailability';
 export * from './wave';
 export * from './wave_state';
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,6 +1,7 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createJobReleaseRoutes,
   createOperatorsHandle,
   createProfileRoutes,
   createStatusRoutes,
@@ -88,6 +89,7 @@
       [
         ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
+        ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
