--- /dev/null
+++ b/features/control/control_site.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {Result} from 'true-myth';
+import {ChangeRefusal} from '../../src/actors/configuration';
+import {createProfiles} from '../../src/stand_ins/site';
+import {Configuration, LeaderRecord, PoolRecord} from '../../src/types';
+import {
+  MemoryEntry,
+  MemorySite,
+  configureSite,
+  createMemorySite,
+} from '../support/memory_site';
+import {advanceUntil, settle} from '../support/paused_clock';
+import {ControlRecorder, createControlRecorder} from './control_recorder';
+
+/** A site of which control is recorded. */
+export interface ControlSite {
+  readonly memory: MemorySite;
+  readonly recorder: ControlRecorder;
+  readonly pools: readonly string[];
+  /** Members that run, by number from 1. */
+  readonly members: Map<number, MemoryEntry>;
+  crash(number: number): void;
+  start(number: number, id?: string): MemoryEntry;
+  findLeader(pool: string): number;
+  readClaim(pool: string): LeaderRecord | undefined;
+  readRecord(pool: string): PoolRecord;
+  /** Waits until every pool has a leader that knows it. */
+  waitForLeaders(limitMs: number): Promise<void>;
+  change(
+    number: number,
+    operationId: string,
+    baseRevision: number,
+    deadlineMs: number,
+  ): Promise<Result<Configuration, ChangeRefusal>>;
+}
+
+const LEADERS_MS = 5_000;
+
+/** Starts members, puts the profiles in force and waits for leaders. */
+export async function createControlSite(count: number): Promise<ControlSite> {
+  const memory = createMemorySite({entries: count});
+  const recorder = createControlRecorder();
+  const members = new Map<number, MemoryEntry>();
+  const pools = memory.site.pools.map(({name}) => name);
+  memory.entries.forEach((entry, index) => {
+    recorder.follow(entry);
+    members.set(index + 1, entry);
+  });
+
+  function read<T>(key: string): T | undefined {
+    const found = memory.keyValue.get(key);
+    return found && (JSON.parse(found.value) as T);
+  }
+
+  function isLed(pool: string): boolean {
+    const term = read<PoolRecord>(`pools/${pool}`)?.term;
+    const leading = [...members.values()].filter(
+      ({core}) => core.leadership.led.get().get(pool) === term,
+    );
+    return leading.length === 1;
+  }
+
+  const site: ControlSite = {
+    memory,
+    recorder,
+    pools,
+    members,
+    crash(number) {
+      const entry = members.get(number);
+      assert.ok(entry);
+      entry.crash();
+      recorder.noteCrash(entry);
+      members.delete(number);
+    },
+    start(number, id = `entry-${number}`) {
+      const entry = memory.addEntry(id);
+      recorder.follow(entry);
+      members.set(number, entry);
+      return entry;
+    },
+    findLeader(pool) {
+      const found = [...members].find(([, {core}]) =>
+        core.leadership.led.get().has(pool),
+      );
+      assert.ok(found, `nobody leads ${pool}`);
+      return found[0];
+    },
+    readClaim: pool => read<LeaderRecord>(`leaders/${pool}`),
+    readRecord: pool =>
+      read<PoolRecord>(`pools/${pool}`) ?? assert.fail(`${pool} has no record`),
+    async waitForLeaders(limitMs) {
+      await advanceUntil(() => pools.every(isLed), limitMs);
+    },
+    change(number, operationId, baseRevision, deadlineMs) {
+      const entry = members.get(number);
+      assert.ok(entry);
+      const profiles = createProfiles(memory.site).map(profile =>
+        profile.name === 'dish-desk' ? {...profile, deadlineMs} : profile,
+      );
+      const {configuration} = entry.core;
+      const author = `operator-${number}`;
+      return settle(
+        configuration.apply({baseRevision, operationId, author, profiles}),
+      );
+    },
+  };
+  await configureSite(memory);
+  await site.waitForLeaders(LEADERS_MS);
+  return site;
+}
--- a/features/support/memory_site.ts
+++ b/features/support/memory_site.ts
@@ -117,6 +117,9 @@
     const core = createCore({
       self: member,
       telemetry,
+      seeds: entries
+        .map(entry => entry.member)
+        .filter(({id}) => id !== memberId),
       outside: {
         store,
         hostList,
--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -103,3 +103,12 @@
 export function tickSync(ms: number): void {
   installed?.tick(ms);
 }
+
+/**
+ * Moves the wall clock without any time passing, as a time server may.
+ *
+ * @param ms how far it moves; negative is back
+ */
+export function jumpWallClock(ms: number): void {
+  installed?.setSystemTime(Date.now() + ms);
+}
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {IncomingMessage, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {Store, StoreFailure, Swap} from '../../ports';
@@ -59,7 +60,7 @@
   ): Promise<void> {
     const path = request.url ?? '/';
     if (path === '/hosts' && request.method === 'GET') {
-      return sendJson(response, 200, [...hosts.values()]);
+      return sendHosts(request, response, [...hosts.values()]);
     }
     const body = await readJson<unknown>(request, 2 * MAX_VALUE_BYTES);
     if (path === '/hosts') return registerHost(body as Host, response);
@@ -104,6 +105,22 @@
   };
 }
 
+/** Sends the list, or only that it is the one the client has. */
+function sendHosts(
+  request: IncomingMessage,
+  response: ServerResponse,
+  hosts: readonly Host[],
+): void {
+  const digest = createHash('sha1').update(JSON.stringify(hosts)).digest('hex');
+  const tag = `"${digest}"`;
+  response.setHeader('etag', tag);
+  if (request.headers['if-none-match'] !== tag) {
+    return sendJson(response, 200, hosts);
+  }
+  response.writeHead(304);
+  response.end();
+}
+
 async function answerStoreCall(
   store: Store,
   path: string,
