--- /dev/null
+++ b/bench/scale/control_decisions.ts
@@ -0,0 +1,128 @@
+import {checkProfileSet, diffProfiles} from '../../src/decisions/configuration';
+import {assignLeaders} from '../../src/decisions/membership';
+import {createProfiles, findSite} from '../../src/stand_ins/site';
+import {Member, Profile} from '../../src/types';
+import {Slope} from './slope';
+
+const POOLS: readonly number[] = [5, 20, 40, 69];
+const MEMBERS: readonly number[] = [7, 20, 40, 80];
+const HOSTS: readonly number[] = [40, 400, 1_200, 3_600];
+const DESIGN_POOLS = 69;
+const DESIGN_TEAMS = 62;
+const DESIGN_HOSTS = 3_600;
+const QUICK_ROUNDS = 20;
+const ROUNDS = 100;
+
+/** Times the decisions alone, in memory. */
+export function createLeaderProbe(quick: boolean): readonly Slope[] {
+  const rounds = quick ? QUICK_ROUNDS : ROUNDS;
+  return [
+    {
+      role: 'leader assignment, all pools vacant, 7 members',
+      axis: 'pools',
+      cost: 'cpu ms per review',
+      points: POOLS.map(pools => ({
+        x: pools,
+        y: time(rounds, () => assign(pools, 7, false)),
+      })),
+    },
+    {
+      role: 'leader assignment, all pools vacant, 69 pools',
+      axis: 'members',
+      cost: 'cpu ms per review',
+      points: MEMBERS.map(members => ({
+        x: members,
+        y: time(rounds, () => assign(DESIGN_POOLS, members, false)),
+      })),
+    },
+    {
+      role: 'leader assignment, all pools led, 69 pools',
+      axis: 'members',
+      cost: 'cpu ms per review',
+      points: MEMBERS.map(members => ({
+        x: members,
+        y: time(rounds, () => assign(DESIGN_POOLS, members, true)),
+      })),
+    },
+    {
+      role: 'configuration check and difference, 62 teams',
+      axis: 'pools',
+      cost: 'cpu ms per change',
+      points: POOLS.map(pools => ({
+        x: pools,
+        y: time(rounds, () => checkAndDiff(pools, DESIGN_HOSTS)),
+      })),
+    },
+    {
+      role: 'configuration check and difference, 69 pools and 62 teams',
+      axis: 'hosts',
+      cost: 'cpu ms per change',
+      points: HOSTS.map(hosts => ({
+        x: hosts,
+        y: time(rounds, () => checkAndDiff(DESIGN_POOLS, hosts)),
+      })),
+    },
+    {
+      role: 'configuration value, 62 teams',
+      axis: 'pools',
+      cost: 'bytes',
+      points: POOLS.map(pools => ({
+        x: pools,
+        y: JSON.stringify(createDesignProfiles(pools, DESIGN_HOSTS)).length,
+      })),
+    },
+  ];
+}
+
+function assign(pools: number, members: number, led: boolean): void {
+  const names = Array.from({length: pools}, (_, i) => `pool-${i}`);
+  const list = Array.from(
+    {length: members},
+    (_, i) => ({id: `member-${i}`, leaving: false}) as Member,
+  );
+  const leaders = new Map(
+    led ? names.map((name, i) => [name, `member-${i % members}`]) : [],
+  );
+  assignLeaders(names, list, leaders);
+}
+
+function checkAndDiff(pools: number, hosts: number): void {
+  const before = createDesignProfiles(pools, hosts);
+  const after = before.map((profile, i) =>
+    i === 0 ? {...profile, deadlineMs: profile.deadlineMs + 1} : profile,
+  );
+  checkProfileSet(after, hosts);
+  diffProfiles(before, after);
+}
+
+/** Creates profiles of the design's size, each with a quota for every team. */
+function createDesignProfiles(
+  pools: number,
+  hosts: number,
+): readonly Profile[] {
+  const [first] = createProfiles(findSite('orbitica'));
+  const teamQuotas = Object.fromEntries(
+    Array.from({length: DESIGN_TEAMS}, (_, i) => [
+      `team-${i}`,
+      1 / DESIGN_TEAMS,
+    ]),
+  );
+  return Array.from({length: pools}, (_, i) => ({
+    ...first,
+    name: `profile-${i}`,
+    pool: `pool-${i}`,
+    services: [`service-${i}`],
+    hosts: Math.floor(hosts / pools),
+    teamQuotas,
+    spare: i === 0,
+  }));
+}
+
+/** Returns the mean processor time of a function, in ms. */
+function time(rounds: number, run: () => void): number {
+  for (let i = 0; i < rounds; i += 1) run();
+  const before = process.cpuUsage();
+  for (let i = 0; i < rounds; i += 1) run();
+  const {user, system} = process.cpuUsage(before);
+  return (user + system) / 1_000 / rounds;
+}
--- /dev/null
+++ b/bench/scale/control_members.ts
@@ -0,0 +1,215 @@
+import {Result} from 'true-myth';
+import {Relay, createRelay} from '../../src/actors/membership';
+import {PeerFailure, Peers} from '../../src/ports';
+import {
+  KeyValue,
+  createKeyValue,
+  createMemoryStore,
+  createStoreFaults,
+} from '../../src/stand_ins/platform';
+import {delay} from '../../src/state';
+import {LogLevel, createTelemetry} from '../../src/telemetry';
+import {Member} from '../../src/types';
+import {Slope} from './slope';
+
+const MEMBERS: readonly number[] = [7, 14, 28, 56];
+const CHANGES: readonly number[] = [0, 20, 40, 80];
+const HOSTS: readonly number[] = [40, 400, 1_200, 3_600];
+const SETTLE_MS = 2_500;
+const MEASURE_MS = 4_000;
+const QUICK_MEASURE_MS = 2_000;
+const DESIGN_MEMBERS = 28;
+const DESIGN_HOSTS = 400;
+const HOST_VALUE = JSON.stringify({pool: 'pool-1', completedWaves: ['w']});
+
+/** Cost of relaying the store's records over one measurement. */
+interface RelayCost {
+  /** Calls of all members to the store per second. */
+  readonly storeCalls: number;
+  /** Bytes of the busiest member's messages per second, both ways. */
+  readonly bytes: number;
+  /** Processor time per member in ms per second. */
+  readonly processorMs: number;
+}
+
+interface Counters {
+  storeCalls: number;
+  readonly bytes: Map<string, number>;
+}
+
+/** Measures the relay between members in memory, on the real clock. */
+export async function measureMembers(
+  quick: boolean,
+): Promise<readonly Slope[]> {
+  const ms = quick ? QUICK_MEASURE_MS : MEASURE_MS;
+  const slopes: Slope[] = [];
+  const byMembers = await measureAll(MEMBERS, x =>
+    measure(x, DESIGN_HOSTS, 10, ms),
+  );
+  const byChanges = await measureAll(CHANGES, x =>
+    measure(DESIGN_MEMBERS, DESIGN_HOSTS, x, ms),
+  );
+  const byHosts = await measureAll(HOSTS, x =>
+    measure(DESIGN_MEMBERS, x, 10, ms),
+  );
+  slopes.push(...createSlopes('members', byMembers));
+  slopes.push(...createSlopes('changes per second', byChanges));
+  slopes.push(...createSlopes('hosts', byHosts));
+  return slopes;
+}
+
+interface Measured {
+  readonly x: number;
+  readonly cost: RelayCost;
+}
+
+async function measureAll(
+  values: readonly number[],
+  run: (x: number) => Promise<RelayCost>,
+): Promise<readonly Measured[]> {
+  const measured: Measured[] = [];
+  for (const x of values) measured.push({x, cost: await run(x)});
+  return measured;
+}
+
+function createSlopes(
+  axis: string,
+  measured: readonly Measured[],
+): readonly Slope[] {
+  const role = 'relay of the store between members';
+  const pick = (read: (cost: RelayCost) => number) =>
+    measured.map(({x, cost}) => ({x, y: read(cost)}));
+  return [
+    {
+      role,
+      axis,
+      cost: 'store calls per second, all members',
+      points: pick(cost => cost.storeCalls),
+    },
+    {
+      role,
+      axis,
+      cost: 'bytes per second, busiest member',
+      points: pick(cost => cost.bytes),
+    },
+    {
+      role,
+      axis,
+      cost: 'cpu ms per second and member',
+      points: pick(cost => cost.processorMs),
+    },
+  ];
+}
+
+async function measure(
+  memberCount: number,
+  hosts: number,
+  changesPerSecond: number,
+  measureMs: number,
+): Promise<RelayCost> {
+  const keyValue = createKeyValue();
+  for (let i = 0; i < hosts; i += 1) put(keyValue, `hosts/host-${i}`);
+  const counters: Counters = {storeCalls: 0, bytes: new Map()};
+  const relays = createRelays(keyValue, memberCount, counters);
+  await delay(SETTLE_MS);
+  counters.storeCalls = 0;
+  counters.bytes.clear();
+  const before = process.cpuUsage();
+  const startedAt = performance.now();
+  await makeChanges(keyValue, hosts, changesPerSecond, measureMs);
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const {user, system} = process.cpuUsage(before);
+  for (const relay of relays) relay.dispose();
+  keyValue.dispose();
+  return {
+    storeCalls: counters.storeCalls / seconds,
+    bytes: Math.max(0, ...counters.bytes.values()) / seconds,
+    processorMs: (user + system) / 1_000 / seconds / memberCount,
+  };
+}
+
+async function makeChanges(
+  keyValue: KeyValue,
+  hosts: number,
+  perSecond: number,
+  measureMs: number,
+): Promise<void> {
+  if (perSecond === 0) return delay(measureMs);
+  const count = Math.round((perSecond * measureMs) / 1_000);
+  for (let i = 0; i < count; i += 1) {
+    put(keyValue, `hosts/host-${i % hosts}`);
+    await delay(1_000 / perSecond);
+  }
+}
+
+function put(keyValue: KeyValue, key: string): void {
+  const expectedVersion = keyValue.get(key)?.version ?? 0;
+  keyValue.swap({key, expectedVersion, value: HOST_VALUE});
+}
+
+function createRelays(
+  keyValue: KeyValue,
+  count: number,
+  counters: Counters,
+): readonly Relay[] {
+  const members = Array.from({length: count}, (_, i) => createMember(i));
+  const relays = new Map<string, Relay>();
+  for (const {id} of members) {
+    const store = createMemoryStore(
+      keyValue,
+      createStoreFaults(),
+      Math.random,
+      () => (counters.storeCalls += 1),
+    );
+    const relay = createRelay({
+      store,
+      peers: createCountingPeers(id, relays, counters),
+      telemetry: createTelemetry(id, LogLevel.Error),
+      selfId: id,
+      getMembers: () => members,
+      seeds: [],
+    });
+    relays.set(id, relay);
+    relay.start();
+  }
+  return [...relays.values()];
+}
+
+function createMember(index: number): Member {
+  return {
+    id: `member-${String(index).padStart(3, '0')}`,
+    availabilityZone: 'zone-a',
+    address: '127.0.0.1',
+    callerPort: 0,
+    operatorPort: 0,
+    peerPort: 0,
+    startedAt: index,
+    leaving: false,
+  };
+}
+
+/** Creates calls that encode their messages and count the bytes at both ends. */
+function createCountingPeers(
+  selfId: string,
+  relays: ReadonlyMap<string, Relay>,
+  {bytes}: Counters,
+): Peers {
+  const count = (id: string, length: number) =>
+    bytes.set(id, (bytes.get(id) ?? 0) + length);
+  return {
+    async call(member, method, request) {
+      const relay = relays.get(member.id);
+      if (!relay) return Result.err(PeerFailure.Unreachable);
+      const sent = method.requestSerialize(request);
+      const asked = method.requestDeserialize(sent);
+      const reply = await relay.handler.handle(asked as never);
+      const returned = method.responseSerialize(reply as never);
+      for (const id of [selfId, member.id]) {
+        count(id, sent.length + returned.length);
+      }
+      return Result.ok(method.responseDeserialize(returned));
+    },
+    retain: () => {},
+    dispose: () => {},
+  };
+}
