Lend slots by demand, admit by deadline, retry within a budget

Cause: entry hosts split every worker's slots evenly, so an uneven burst left slots idle at one entry host while another refused; requests that could not start in time waited until their deadline; a request refused after an attempt that may have run was reported as not run.

Change: the pool's leader keeps a ledger and lends slots by demand reported over gRPC; loans end on the borrower's clock from before it asked, a new leader waits out two loan lengths before it lends what it doesn't know to be held. Admission refuses at once what can't start in time. Queues are kept by rank and team. Retries take from a budget of 0.08 per success, use a connection of their own, another worker and another rack. Outlier ejection stays within the pool's budget. Short answers are read whole before they are passed on.

Ruled out: one dispatcher per pool (a hop and a single failure for each request); a lease in the store per loan (write rate).

--- /dev/null
+++ b/src/actors/requests/create_slot_sharing.ts
@@ -0,0 +1,79 @@
+import {
+  SlotPolicy,
+  SlotPolicyKind,
+  chooseCheapestWorker,
+  chooseOfTwoWorkers,
+  shareEverything,
+  splitStatically,
+} from '../../decisions/requests';
+import {Loan, Member, PoolHost} from '../../types';
+import {SlotBorrower} from '../slots';
+import {SlotSharing} from './slot_sharing';
+
+/** What a way of sharing slots rests on. */
+export interface SlotSharingOptions {
+  readonly kind: SlotPolicyKind;
+  readonly memberId: string;
+  readonly getHosts: (pool: string) => readonly PoolHost[];
+  readonly getMembers: () => readonly Member[];
+  readonly borrower: SlotBorrower;
+}
+
+/** Creates the way of sharing slots that the settings name. */
+export function createSlotSharing(options: SlotSharingOptions): SlotSharing {
+  const {kind, borrower} = options;
+  const getSplit = createCachedPolicy(splitStatically, options);
+  const getShare = (pool: string) => countSlots(getSplit(pool));
+  switch (kind) {
+    case SlotPolicyKind.Lending:
+      return {
+        getLoans: pool => borrower.getLoans(pool) ?? getSplit(pool),
+        getShare,
+        hurry: borrower.hurry,
+        chooseWorker: chooseCheapestWorker,
+      };
+    case SlotPolicyKind.StaticSplit:
+      return {
+        getLoans: getSplit,
+        getShare,
+        hurry: () => {},
+        chooseWorker: chooseCheapestWorker,
+      };
+    case SlotPolicyKind.TwoChoices:
+      return {
+        getLoans: createCachedPolicy(shareEverything, options),
+        getShare,
+        hurry: () => {},
+        chooseWorker: chooseOfTwoWorkers,
+      };
+  }
+}
+
+interface CachedLoans {
+  readonly hosts: readonly PoolHost[];
+  readonly members: readonly Member[];
+  readonly loans: readonly Loan[];
+}
+
+/** Applies a policy again only when the pool's hosts or the members have changed. */
+function createCachedPolicy(
+  policy: SlotPolicy,
+  {getHosts, getMembers, memberId}: SlotSharingOptions,
+): (pool: string) => readonly Loan[] {
+  const cache = new Map<string, CachedLoans>();
+
+  return pool => {
+    const hosts = getHosts(pool);
+    const members = getMembers();
+    const known = cache.get(pool);
+    if (known?.hosts === hosts && known.members === members) return known.loans;
+    const memberIds = members.map(member => member.id);
+    const loans = policy({hosts, memberIds, memberId});
+    cache.set(pool, {hosts, members, loans});
+    return loans;
+  };
+}
+
+function countSlots(loans: readonly Loan[]): number {
+  return loans.reduce((sum, loan) => sum + loan.slots, 0);
+}
--- /dev/null
+++ b/src/actors/requests/pool_hosts_cache.ts
@@ -0,0 +1,30 @@
+import {PoolHost} from '../../types';
+
+/** A pool's hosts; the same array is returned until something changes. */
+export interface PoolHostsCache {
+  get(pool: string): readonly PoolHost[];
+  dispose(): void;
+}
+
+/** What the cache is filled from. */
+export interface PoolHostsSource {
+  getPoolHosts(pool: string): readonly PoolHost[];
+  onChange(listener: () => void): () => void;
+}
+
+/** Creates a cache that is emptied by every change of its source. */
+export function createPoolHostsCache(source: PoolHostsSource): PoolHostsCache {
+  const known = new Map<string, readonly PoolHost[]>();
+  const stop = source.onChange(() => known.clear());
+
+  return {
+    get(pool) {
+      const cached = known.get(pool);
+      if (cached) return cached;
+      const hosts = source.getPoolHosts(pool);
+      known.set(pool, hosts);
+      return hosts;
+    },
+    dispose: stop,
+  };
+}
--- /dev/null
+++ b/src/actors/requests/request_queue.ts
@@ -0,0 +1,149 @@
+import {LOW_RANK_SHARE, RANKS, chooseGroup} from '../../decisions/requests';
+import {Rank} from '../../types';
+import {WaitingRequest} from './waiting_request';
+
+/** The requests of one pool that wait at an entry host. */
+export interface RequestQueue {
+  readonly size: number;
+  add(waiting: WaitingRequest): void;
+  /** Removes the request that starts next; undefined if none waits. */
+  takeNext(getRunning: (team: string) => number): WaitingRequest | undefined;
+  /** Removes every request for which the condition holds. */
+  takeAll(
+    matches: (waiting: WaitingRequest) => boolean,
+  ): readonly WaitingRequest[];
+  /** Counts the requests of a rank. */
+  countRank(rank: Rank): number;
+  /** Counts the requests of a rank and above. */
+  countAhead(rank: Rank): number;
+  /** Counts the requests of a rank and team. */
+  countTeam(rank: Rank, team: string): number;
+  /** Returns the share of a rank's starts that a team gets, 0 to 1. */
+  shareOf(rank: Rank, team: string, weight: number): number;
+}
+
+/** Relative share of a team without a quota. */
+const DEFAULT_TEAM_WEIGHT = 0.1;
+
+/** Returns the relative share of a request's team. */
+export function teamWeight({profile, request}: WaitingRequest): number {
+  return profile.teamQuotas[request.team] ?? DEFAULT_TEAM_WEIGHT;
+}
+
+interface Group {
+  readonly rank: Rank;
+  readonly team: string;
+  readonly weight: number;
+  /** Sorted by deadline. */
+  readonly waiting: WaitingRequest[];
+}
+
+/** Creates an empty queue. */
+export function createRequestQueue(): RequestQueue {
+  const groups = new Map<string, Group>();
+  let size = 0;
+  /** Part of a start that is due to lower ranks, 0 to 1. */
+  let lowCredit = 0;
+
+  function findGroup(waiting: WaitingRequest): Group {
+    const {rank} = waiting.profile;
+    const {team} = waiting.request;
+    const key = keyOf(rank, team);
+    const known = groups.get(key);
+    if (known) return known;
+    const created = {rank, team, weight: teamWeight(waiting), waiting: []};
+    groups.set(key, created);
+    return created;
+  }
+
+  function countWhere(matches: (group: Group) => boolean): number {
+    let count = 0;
+    for (const group of groups.values()) {
+      if (matches(group)) count += group.waiting.length;
+    }
+    return count;
+  }
+
+  function remove(group: Group, index: number): WaitingRequest {
+    const [removed] = group.waiting.splice(index, 1);
+    size -= 1;
+    if (group.waiting.length === 0) {
+      groups.delete(keyOf(group.rank, group.team));
+    }
+    return removed;
+  }
+
+  /** Tells whether the next start is due to a lower rank. */
+  function takeLowTurn(): boolean {
+    const ranks = new Set([...groups.values()].map(group => group.rank));
+    if (ranks.size < 2) return false;
+    lowCredit += LOW_RANK_SHARE;
+    if (lowCredit < 1) return false;
+    lowCredit -= 1;
+    return true;
+  }
+
+  return {
+    get size() {
+      return size;
+    },
+    add(waiting) {
+      const group = findGroup(waiting);
+      group.waiting.splice(findPlace(group.waiting, waiting), 0, waiting);
+      size += 1;
+    },
+    takeNext(getRunning) {
+      const known = [...groups.values()];
+      const index = chooseGroup(
+        known.map(({rank, team, weight, waiting}) => ({
+          rank,
+          team,
+          weight,
+          running: getRunning(team),
+          deadlineAt: waiting[0].deadlineAt,
+        })),
+        takeLowTurn(),
+      );
+      return index < 0 ? undefined : remove(known[index], 0);
+    },
+    takeAll(matches) {
+      const taken: WaitingRequest[] = [];
+      for (const group of [...groups.values()]) {
+        for (let i = group.waiting.length - 1; i >= 0; i -= 1) {
+          if (matches(group.waiting[i])) taken.push(remove(group, i));
+        }
+      }
+      return taken;
+    },
+    countRank: rank => countWhere(group => group.rank === rank),
+    countAhead: rank =>
+      countWhere(group => RANKS.indexOf(group.rank) <= RANKS.indexOf(rank)),
+    countTeam: (rank, team) =>
+      groups.get(keyOf(rank, team))?.waiting.length ?? 0,
+    shareOf(rank, team, weight) {
+      let sum = weight;
+      for (const group of groups.values()) {
+        if (group.rank === rank && group.team !== team) sum += group.weight;
+      }
+      return weight / sum;
+    },
+  };
+}
+
+function keyOf(rank: Rank, team: string): string {
+  return `${rank}/${team}`;
+}
+
+function findPlace(
+  sorted: readonly WaitingRequest[],
+  {deadlineAt}: WaitingRequest,
+): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (sorted[middle].deadlineAt <= deadlineAt) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/src/actors/requests/requests.ts
+++ b/src/actors/requests/requests.ts
@@ -1,6 +1,5 @@
 import {ActorSystemRef} from 'nact';
 import {Result} from 'true-myth';
-import {SlotPolicy} from '../../decisions/requests';
 import {Workers} from '../../ports';
 import {Snapshot} from '../../state';
 import {Telemetry} from '../../telemetry';
@@ -11,6 +10,7 @@
   Profile,
   RefusalReason,
 } from '../../types';
+import {SlotUsage} from '../slots';
 import {Answer} from './answer';
 import {InteractiveRequest} from './interactive_request';
 import {
@@ -18,6 +18,7 @@
   createPoolRequestsActor,
 } from './pool_requests_actor';
 import {Refusal} from './refusal';
+import {SlotSharing} from './slot_sharing';
 
 /** Runs interactive requests at this entry host. */
 export interface Requests {
@@ -27,6 +28,14 @@
   dispose(): void;
 }
 
+/** Interactive requests with what the borrower of slots needs of them. */
+export interface LocalRequests extends Requests {
+  /** Returns the use of a pool's slots and starts the next period of measuring demand. */
+  takeUsage(pool: string): SlotUsage;
+  /** Dispatches what newly lent slots of a pool allow. */
+  review(pool: string): void;
+}
+
 /** Where the requests get what they need. */
 export interface RequestsOptions {
   readonly system: ActorSystemRef;
@@ -34,15 +43,17 @@
   readonly telemetry: Telemetry;
   readonly configuration: Snapshot<Configuration | undefined>;
   readonly getPoolHosts: (pool: string) => readonly PoolHost[];
-  readonly getMemberIds: () => readonly string[];
-  readonly memberId: string;
-  readonly slotPolicy: SlotPolicy;
+  readonly availabilityZone: string;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs: number;
+  readonly sharing: SlotSharing;
 }
 
 const DRAIN_POLL_MS = 20;
+const NO_USAGE: SlotUsage = {demand: 0, used: new Map()};
 
 /** Creates the entry host's side of interactive requests. */
-export function createRequests(options: RequestsOptions): Requests {
+export function createRequests(options: RequestsOptions): LocalRequests {
   const {configuration, telemetry} = options;
   const pools = new Map<string, PoolRequestsActor>();
 
@@ -56,18 +67,11 @@
     const known = pools.get(pool);
     if (known) return known;
     const created = createPoolRequestsActor({
-      system: options.system,
-      workers: options.workers,
-      telemetry,
+      ...options,
       pool,
-      getProfile: () => findProfile(profile => profile.pool === pool),
       getHosts: () => options.getPoolHosts(pool),
-      getLoans: () =>
-        options.slotPolicy({
-          hosts: options.getPoolHosts(pool),
-          memberIds: options.getMemberIds(),
-          memberId: options.memberId,
-        }),
+      getMaxUnavailable: () =>
+        findProfile(profile => profile.pool === pool)?.maxUnavailable ?? 0,
     });
     pools.set(pool, created);
     return created;
@@ -76,7 +80,7 @@
   return {
     async run(request) {
       const profile = findProfile(p => p.services.includes(request.service));
-      if (profile) return getActor(profile.pool).run(request);
+      if (profile) return getActor(profile.pool).run(request, profile);
       const reason = configuration.get()
         ? RefusalReason.UnknownService
         : RefusalReason.NoConfiguration;
@@ -87,6 +91,8 @@
         detail: `no profile in force names service ${request.service}`,
       });
     },
+    takeUsage: pool => pools.get(pool)?.takeUsage() ?? NO_USAGE,
+    review: pool => pools.get(pool)?.review(),
     async drain() {
       while ([...pools.values()].some(pool => pool.getInFlight() > 0)) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
--- a/src/actors/slots/pool_slots.ts
+++ b/src/actors/slots/pool_slots.ts
@@ -1,4 +1,9 @@
-import {PoolHost} from '../../types';
+import {LendableHost, adjustLoan, shareFairly} from '../../decisions/slots';
+import {splitStatically} from '../../decisions/requests';
+import {PoolDemand, PoolLoan} from '../../protocol';
+import {HostState, PoolHost} from '../../types';
+import {BorrowerRecord} from './borrower_record';
+import {LOAN_MARGIN_MS, LOAN_MS, TAKEOVER_MS} from './loan_terms';
 
 /** What interactive work lacks in a pool now. */
 export interface Shortage {
@@ -8,6 +13,13 @@
   readonly forMs: number;
 }
 
+/** Who sent a demand, and which of its reports it is. */
+export interface Borrower {
+  readonly memberId: string;
+  readonly session: string;
+  readonly sequence: number;
+}
+
 /** The leader's ledger of one pool's slots, shared by interactive and long work. */
 export interface PoolSlots {
   /** Returns a host's slots that are neither lent nor reserved. */
@@ -20,40 +32,246 @@
   release(jobId: string): void;
   /** Returns what interactive work lacks; long work makes room for it. */
   getShortage(): Shortage;
+  /** Answers a borrower's report; undefined if a later one was answered already. */
+  lend(borrower: Borrower, demand: PoolDemand): PoolLoan | undefined;
   dispose(): void;
 }
 
+/** What a ledger that lends rests on. */
+export interface LendingOptions {
+  readonly pool: string;
+  readonly term: number;
+  /** Ids of the members that may use the pool, in order. */
+  readonly getMemberIds: () => readonly string[];
+}
+
 interface Reservation {
   readonly hostId: string;
   readonly slots: number;
 }
 
-/** Creates a ledger that lends nothing. */
+/** Slots lent beyond the demand, so that a lone request needn't wait for a report. */
+const HEADROOM_SLOTS = 2;
+/** Time after a refused reservation during which idle borrowers get no headroom. */
+const LONG_WORK_WAITS_MS = 1_000;
+/** Time for which requests of a silent borrower are taken to run on after its loan. */
+const LINGER_MS = 2_000;
+
+const NO_LENDING: LendingOptions = {
+  pool: '',
+  term: 0,
+  getMemberIds: () => [],
+};
+
+/**
+ * Creates a pool's ledger.
+ *
+ * @param getHosts the pool's hosts now
+ * @param options who borrows; nobody by default
+ */
 export function createPoolSlots(
   getHosts: () => readonly PoolHost[],
+  options: LendingOptions = NO_LENDING,
 ): PoolSlots {
+  const {pool, term, getMemberIds} = options;
   const reservations = new Map<string, Reservation>();
+  const borrowers = new Map<string, BorrowerRecord>();
+  const startedAt = performance.now();
+  let reservationRefusedAt = Number.NEGATIVE_INFINITY;
+  let shortSince: number | undefined;
+
+  /** Returns what can't be lent or reserved anew on each host. */
+  function countTaken(except?: string): Map<string, number> {
+    const taken = new Map<string, number>();
+    const now = performance.now();
+    for (const {hostId, slots} of reservations.values()) {
+      add(taken, hostId, slots);
+    }
+    for (const [session, record] of borrowers) {
+      if (session === except) continue;
+      for (const [hostId, slots] of outstandingOf(record, now)) {
+        add(taken, hostId, slots);
+      }
+    }
+    for (const memberId of silentMembers(now)) addSplit(taken, memberId);
+    return taken;
+  }
+
+  /** Returns known members without a loan, which may work on the static split. */
+  function silentMembers(now: number): readonly string[] {
+    const reporting = new Set<string>();
+    for (const record of borrowers.values()) {
+      if (now < record.endsAt) reporting.add(record.memberId);
+    }
+    return getMemberIds().filter(id => !reporting.has(id));
+  }
+
+  function addSplit(taken: Map<string, number>, memberId: string): void {
+    const memberIds = getMemberIds();
+    const split = splitStatically({hosts: getHosts(), memberIds, memberId});
+    for (const {hostId, slots} of split) add(taken, hostId, slots);
+  }
+
+  function reservedOn(hostId: string): number {
+    let sum = 0;
+    for (const known of reservations.values()) {
+      if (known.hostId === hostId) sum += known.slots;
+    }
+    return sum;
+  }
 
   function getFree(hostId: string): number {
-    const host = getHosts().find(known => known.host.id === hostId)?.host;
-    let free = host?.slots ?? 0;
-    for (const reservation of reservations.values()) {
-      if (reservation.hostId === hostId) free -= reservation.slots;
+    const known = getHosts().find(({host}) => host.id === hostId);
+    return (known?.host.slots ?? 0) - (countTaken().get(hostId) ?? 0);
+  }
+
+  function targetOf(session: string, capacity: number): number {
+    const now = performance.now();
+    const live = [...borrowers].filter(([, record]) => now < record.endsAt);
+    const wanted = live.map(([, record]) => wantedBy(record.demand));
+    const shares = shareFairly(capacity, wanted);
+    return shares[live.findIndex(([known]) => known === session)] ?? 0;
+  }
+
+  function wantedBy(demand: number): number {
+    const waits = performance.now() - reservationRefusedAt < LONG_WORK_WAITS_MS;
+    return demand + (waits ? 0 : HEADROOM_SLOTS);
+  }
+
+  function lendable(
+    session: string,
+    held: ReadonlyMap<string, number>,
+    used: ReadonlyMap<string, number>,
+  ): readonly LendableHost[] {
+    const taken = countTaken(session);
+    const frozen = performance.now() - startedAt < TAKEOVER_MS;
+    const active = getHosts().filter(h => h.state === HostState.Active);
+    return active.map(({host}) => {
+      const most = Math.max(0, host.slots - (taken.get(host.id) ?? 0));
+      const kept = Math.min(held.get(host.id) ?? 0, most);
+      return {
+        hostId: host.id,
+        held: kept,
+        used: used.get(host.id) ?? 0,
+        free: frozen ? 0 : most - kept,
+      };
+    });
+  }
+
+  function lend(borrower: Borrower, demand: PoolDemand): PoolLoan | undefined {
+    const {memberId, session, sequence} = borrower;
+    const known = borrowers.get(session);
+    if (known && known.sequence >= sequence) return undefined;
+    const now = performance.now();
+    const held = new Map(demand.hosts.map(h => [h.hostId, h.held]));
+    const used = new Map(demand.hosts.map(h => [h.hostId, h.used]));
+    const record: BorrowerRecord = {
+      memberId,
+      sequence,
+      demand: demand.demand,
+      held,
+      used,
+      endsAt: now + LOAN_MS + LOAN_MARGIN_MS,
+    };
+    borrowers.set(session, record);
+    forgetEnded(now);
+    const hosts = lendable(session, held, used);
+    const capacity = countLendable();
+    const granted = adjustLoan(targetOf(session, capacity), hosts);
+    borrowers.set(session, {...record, held: largest(held, granted)});
+    noteShortage(capacity);
+    const total = [...granted.values()].reduce((sum, n) => sum + n, 0);
+    return {
+      pool,
+      term,
+      lengthMs: LOAN_MS,
+      contended: total < demand.demand,
+      hosts: [...granted]
+        .filter(([, slots]) => slots > 0)
+        .map(([hostId, slots]) => ({hostId, slots})),
+    };
+  }
+
+  /** Returns the slots that borrowers share. */
+  function countLendable(): number {
+    const silent = new Map<string, number>();
+    for (const id of silentMembers(performance.now())) addSplit(silent, id);
+    let sum = 0;
+    for (const {host, state} of getHosts()) {
+      if (state !== HostState.Active) continue;
+      const kept = reservedOn(host.id) + (silent.get(host.id) ?? 0);
+      sum += Math.max(0, host.slots - kept);
+    }
+    return sum;
+  }
+
+  function forgetEnded(now: number): void {
+    for (const [session, record] of borrowers) {
+      if (now >= record.endsAt + LINGER_MS) borrowers.delete(session);
+    }
+  }
+
+  function countShort(capacity: number): number {
+    const now = performance.now();
+    let wanted = 0;
+    for (const record of borrowers.values()) {
+      if (now < record.endsAt) wanted += record.demand;
     }
-    return free;
+    return Math.max(0, wanted - capacity);
+  }
+
+  function noteShortage(capacity: number): void {
+    if (countShort(capacity) === 0) shortSince = undefined;
+    else shortSince ??= performance.now();
   }
 
   return {
     getFree,
     reserve(jobId, hostId, slots) {
-      if (getFree(hostId) < slots) return false;
+      if (getFree(hostId) < slots) {
+        reservationRefusedAt = performance.now();
+        return false;
+      }
       reservations.set(jobId, {hostId, slots});
       return true;
     },
     adopt: (jobId, hostId, slots) =>
       void reservations.set(jobId, {hostId, slots}),
     release: jobId => void reservations.delete(jobId),
-    getShortage: () => ({slots: 0, forMs: 0}),
-    dispose: () => reservations.clear(),
+    getShortage() {
+      if (shortSince === undefined) return {slots: 0, forMs: 0};
+      const slots = countShort(countLendable());
+      const forMs = slots > 0 ? performance.now() - shortSince : 0;
+      return {slots, forMs};
+    },
+    lend,
+    dispose() {
+      reservations.clear();
+      borrowers.clear();
+    },
   };
 }
+
+function add(counts: Map<string, number>, hostId: string, slots: number): void {
+  counts.set(hostId, (counts.get(hostId) ?? 0) + slots);
+}
+
+/** Returns the slots that a borrower may still use, or that its last requests may. */
+function outstandingOf(
+  record: BorrowerRecord,
+  now: number,
+): ReadonlyMap<string, number> {
+  if (now < record.endsAt) return record.held;
+  return now < record.endsAt + LINGER_MS ? record.used : new Map();
+}
+
+function largest(
+  a: ReadonlyMap<string, number>,
+  b: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> {
+  const result = new Map(a);
+  for (const [hostId, slots] of b) {
+    result.set(hostId, Math.max(slots, a.get(hostId) ?? 0));
+  }
+  return result;
+}
--- a/src/adapters/worker/http_workers.ts
+++ b/src/adapters/worker/http_workers.ts
@@ -1,14 +1,13 @@
-import {Readable} from 'node:stream';
 import {Result} from 'true-myth';
 import {Pool} from 'undici';
-import {
-  TaskReport,
-  WorkerFailure,
-  WorkerReport,
-  WorkerResponse,
-  Workers,
-} from '../../ports';
+import {TaskReport, WorkerFailure, WorkerReport, Workers} from '../../ports';
 import {Host} from '../../types';
+import {classify, readRefusal} from './classify';
+import {
+  RequestConnections,
+  createRequestConnections,
+} from './request_connections';
+import {sendRequest} from './send_request';
 
 /** Limits of the calls to workers. */
 export interface HttpWorkersOptions {
@@ -21,22 +20,10 @@
 }
 
 interface Connections {
-  readonly requests: Pool;
+  readonly requests: RequestConnections;
   readonly control: Pool;
 }
 
-const UNSENT_CODES: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
-const SILENT_CODES: readonly string[] = [
-  'UND_ERR_HEADERS_TIMEOUT',
-  'UND_ERR_BODY_TIMEOUT',
-];
-
 /**
  * Creates calls to workers over HTTP.
  *
@@ -50,14 +37,17 @@
     const origin = `http://${host.address}:${host.port}`;
     const known = connections.get(origin);
     if (known) return known;
-    const connect = {timeout: options.connectTimeoutMs};
+    const {connectTimeoutMs, connectionsPerWorker} = options;
     const created = {
-      requests: new Pool(origin, {
-        connections: options.connectionsPerWorker,
-        pipelining: 1,
-        connect,
+      requests: createRequestConnections({
+        origin,
+        limit: connectionsPerWorker,
+        connectTimeoutMs,
+      }),
+      control: new Pool(origin, {
+        connections: 1,
+        connect: {timeout: connectTimeoutMs},
       }),
-      control: new Pool(origin, {connections: 1, connect}),
     };
     connections.set(origin, created);
     return created;
@@ -85,35 +75,7 @@
   }
 
   return {
-    async send(host, request) {
-      try {
-        const response = await connect(host).requests.request({
-          method: request.method as 'GET',
-          path: request.path,
-          headers: {...request.headers, 'request-id': request.requestId},
-          body: request.body,
-          signal: request.signal,
-          headersTimeout: request.timeoutMs,
-          bodyTimeout: request.timeoutMs,
-        });
-        const refusal = response.headers['worker-refusal'];
-        if (refusal !== undefined) {
-          await response.body.dump();
-          return Result.err(readRefusal(refusal));
-        }
-        if (response.headers['request-id'] !== request.requestId) {
-          response.body.destroy();
-          return Result.err(WorkerFailure.Mismatched);
-        }
-        return Result.ok<WorkerResponse, WorkerFailure>({
-          status: response.statusCode,
-          headers: response.headers,
-          body: response.body as Readable,
-        });
-      } catch (error) {
-        return Result.err(classify(error));
-      }
-    },
+    send: (host, request) => sendRequest(connect(host).requests, request),
     report: host => control<WorkerReport>(host, 'GET', '/report'),
     startTask: (host, start) =>
       control<TaskReport>(host, 'POST', '/tasks', start),
@@ -129,24 +91,10 @@
     reboot: host => control<void>(host, 'POST', '/reboot', {}),
     dispose() {
       for (const {requests, control} of connections.values()) {
-        void requests.destroy();
+        requests.dispose();
         void control.destroy();
       }
       connections.clear();
     },
   };
 }
-
-function readRefusal(header: string | string[] | undefined): WorkerFailure {
-  const known = Object.values(WorkerFailure).find(value => value === header);
-  return known ?? WorkerFailure.ConnectionLost;
-}
-
-function classify(error: unknown): WorkerFailure {
-  const {code = '', name = ''} = error as {code?: string; name?: string};
-  if (UNSENT_CODES.includes(code)) return WorkerFailure.ConnectFailed;
-  if (SILENT_CODES.includes(code)) return WorkerFailure.Silent;
-  if (name === 'TimeoutError') return WorkerFailure.Silent;
-  if (name === 'AbortError') return WorkerFailure.Cancelled;
-  return WorkerFailure.ConnectionLost;
-}
--- /dev/null
+++ b/src/adapters/worker/send_request.ts
@@ -0,0 +1,102 @@
+import {Readable, finished} from 'node:stream';
+import {Result} from 'true-myth';
+import {Dispatcher} from 'undici';
+import {WorkerFailure, WorkerRequest, WorkerResponse} from '../../ports';
+import {AttemptTimer, createAttemptTimer} from './attempt_timer';
+import {classify, readRefusal} from './classify';
+import {BorrowedConnection, RequestConnections} from './request_connections';
+
+/** Longest body that is read whole before it is passed on. */
+const WHOLE_BODY_BYTES = 65_536;
+
+/**
+ * Sends one request on a connection of its own or a kept one.
+ *
+ * @param connections the connections to the worker
+ * @param request the request
+ */
+export async function sendRequest(
+  connections: RequestConnections,
+  request: WorkerRequest,
+): Promise<Result<WorkerResponse, WorkerFailure>> {
+  const connection = connections.borrow(request.freshConnection === true);
+  if (!connection) return Result.err(WorkerFailure.Busy);
+  const {timeoutMs, silenceMs = timeoutMs} = request;
+  const timer = createAttemptTimer(timeoutMs, silenceMs, request.signal);
+  const result = await exchange(connection, request, timer);
+  if (result.isOk && !result.value.whole) {
+    finished(result.value.body, () => release(connection, timer, undefined));
+    return result;
+  }
+  release(connection, timer, result.isErr ? result.error : undefined);
+  return result;
+}
+
+async function exchange(
+  {dispatcher}: BorrowedConnection,
+  request: WorkerRequest,
+  timer: AttemptTimer,
+): Promise<Result<WorkerResponse, WorkerFailure>> {
+  try {
+    const response = await dispatcher.request({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: {...request.headers, 'request-id': request.requestId},
+      body: request.body,
+      signal: timer.signal,
+    });
+    timer.noteFirstByte();
+    return await readAnswer(response, request, timer);
+  } catch (error) {
+    return Result.err(
+      timer.isTimedOut() ? WorkerFailure.Silent : classify(error),
+    );
+  }
+}
+
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+  request: WorkerRequest,
+  timer: AttemptTimer,
+): Promise<Result<WorkerResponse, WorkerFailure>> {
+  const refusal = response.headers['worker-refusal'];
+  if (refusal !== undefined) {
+    await response.body.dump();
+    return Result.err(readRefusal(refusal));
+  }
+  if (response.headers['request-id'] !== request.requestId) {
+    response.body.on('error', () => {}).destroy();
+    return Result.err(WorkerFailure.Mismatched);
+  }
+  const answer = {status: response.statusCode, headers: response.headers};
+  if (!isShort(response)) {
+    const body: Readable = response.body;
+    return Result.ok({...answer, body});
+  }
+  try {
+    const bytes = Buffer.from(await response.body.arrayBuffer());
+    const body = Readable.from([bytes], {objectMode: false});
+    return Result.ok({...answer, body, whole: true});
+  } catch {
+    if (timer.isTimedOut()) return Result.err(WorkerFailure.Silent);
+    const cancelled = request.signal?.aborted === true;
+    return Result.err(
+      cancelled ? WorkerFailure.Cancelled : WorkerFailure.Truncated,
+    );
+  }
+}
+
+function isShort({headers}: Dispatcher.ResponseData): boolean {
+  return Number(headers['content-length'] ?? Infinity) <= WHOLE_BODY_BYTES;
+}
+
+/** Closes a silent connection with those that were kept beside it. */
+function release(
+  connection: BorrowedConnection,
+  timer: AttemptTimer,
+  failure: WorkerFailure | undefined,
+): void {
+  timer.dispose();
+  if (failure === WorkerFailure.Silent) connection.distrust();
+  else connection.end();
+}
--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -1,4 +1,5 @@
 import type {Argv} from 'yargs';
+import {SlotPolicyKind} from '../../decisions/requests';
 import {Settings} from '../../settings';
 import {LogLevel, setLogSink} from '../../telemetry';
 import {createEntry} from '../../wiring';
@@ -56,6 +57,18 @@
     default: 8,
     describe: 'connections to one worker for requests',
   },
+  'silence-ms': {
+    type: 'number',
+    default: 1_000,
+    describe:
+      'least wait for the first byte of an idempotent answer before another worker is tried',
+  },
+  'slot-policy': {
+    choices: Object.values(SlotPolicyKind),
+    default: SlotPolicyKind.Lending,
+    hidden: true,
+    describe: 'way of sharing slots between entry hosts',
+  },
   'worker-timeout-ms': {
     type: 'number',
     default: 1_000,
@@ -84,6 +97,8 @@
         logLevel: options.logLevel,
         storeTimeoutMs: options.storeTimeoutMs,
         connectionsPerWorker: options.connectionsPerWorker,
+        silenceMs: options.silenceMs,
+        slotPolicy: options.slotPolicy,
         workerTimeoutMs: options.workerTimeoutMs,
       };
       const entry = await createEntry(settings);
--- a/src/decisions/requests/index.ts
+++ b/src/decisions/requests/index.ts
@@ -1,4 +1,12 @@
 /** Decisions about interactive requests. */
+export * from './admission';
+export * from './choose_group';
+export * from './choose_worker';
+export * from './outlier';
+export * from './retry_budget';
 export * from './retry_decision';
+export * from './share_everything';
 export * from './slot_policy';
+export * from './slot_policy_kind';
 export * from './static_split';
+export * from './worker_candidate';
--- a/src/decisions/requests/retry_decision.ts
+++ b/src/decisions/requests/retry_decision.ts
@@ -7,6 +7,7 @@
   [WorkerFailure.Leaving]: RetryReason.WorkerLeaving,
   [WorkerFailure.ConnectionLost]: RetryReason.ConnectionLost,
   [WorkerFailure.Silent]: RetryReason.ConnectionSilent,
+  [WorkerFailure.Truncated]: RetryReason.Truncated,
   [WorkerFailure.Mismatched]: RetryReason.Mismatched,
 };
 
--- /dev/null
+++ b/src/decisions/slots/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about lending a pool's slots to entry hosts. */
+export * from './adjust_loan';
+export * from './share_fairly';
--- a/src/ports/worker_failure.ts
+++ b/src/ports/worker_failure.ts
@@ -10,6 +10,8 @@
   ConnectionLost = 'connection-lost',
   /** No byte came within the time limit. */
   Silent = 'silent',
+  /** The answer ended before its stated length. */
+  Truncated = 'truncated',
   /** The answer carried another request's id. */
   Mismatched = 'mismatched',
   /** The worker refused a term or lease that has lapsed. */
--- a/src/ports/worker_request.ts
+++ b/src/ports/worker_request.ts
@@ -10,5 +10,9 @@
   readonly body: Readable | Buffer;
   /** Time left for the whole answer, in ms. */
   readonly timeoutMs: number;
+  /** Longest wait for the answer's first byte, in ms; timeoutMs if undefined. */
+  readonly silenceMs?: number;
+  /** True if the request must go on a connection opened for it. */
+  readonly freshConnection?: boolean;
   readonly signal?: AbortSignal;
 }
--- a/src/ports/worker_response.ts
+++ b/src/ports/worker_response.ts
@@ -6,4 +6,6 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Readable;
+  /** True if the body is wholly in memory already. */
+  readonly whole?: boolean;
 }
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,3 +1,4 @@
 /** Messages between members: protobuf definitions and their gRPC methods. */
+export * from './borrow';
 export * from './heartbeat';
 export * from './method';
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,3 +1,4 @@
+import {SlotPolicyKind} from '../decisions/requests';
 import {LogLevel} from '../telemetry';
 
 /** Settings of one entry host. */
@@ -19,6 +20,10 @@
   readonly storeTimeoutMs: number;
   /** Connections to one worker for requests. */
   readonly connectionsPerWorker: number;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
+  /** Way of sharing slots between entry hosts. */
+  readonly slotPolicy?: SlotPolicyKind;
   /** Time limit of a control call to a worker, in ms. */
   readonly workerTimeoutMs: number;
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -13,10 +13,16 @@
   createLeadershipActor,
   createMembershipActor,
 } from '../actors/membership';
-import {Requests, createRequests} from '../actors/requests';
-import {SlotPolicy, splitStatically} from '../decisions/requests';
+import {
+  Requests,
+  createPoolHostsCache,
+  createRequests,
+  createSlotSharing,
+} from '../actors/requests';
+import {createSlotBorrower, createSlotLenders} from '../actors/slots';
+import {SlotPolicyKind, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
-import {heartbeatMethod} from '../protocol';
+import {borrowMethod, heartbeatMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
 import {Member} from '../types';
 import {Outside} from './outside';
@@ -49,13 +55,20 @@
   readonly self: Member;
   readonly outside: Outside;
   readonly telemetry: Telemetry;
-  /** Decides which slots this entry host may use. */
-  readonly slotPolicy?: SlotPolicy;
+  /** Way of sharing slots; lending by default. */
+  readonly slotPolicy?: SlotPolicyKind;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
 }
 
+/** Least wait for the first byte of an idempotent request's answer. */
+export const DEFAULT_SILENCE_MS = 1_000;
+
 /** Wires an entry host's actors. */
 export function createCore(options: CoreOptions): Core {
-  const {self, outside, telemetry, slotPolicy = splitStatically} = options;
+  const {self, outside, telemetry} = options;
+  const {slotPolicy = SlotPolicyKind.Lending} = options;
+  const {silenceMs = DEFAULT_SILENCE_MS} = options;
   const {store, hostList, workers, peers} = outside;
   const system = start();
   let stopping = false;
@@ -77,7 +90,16 @@
     membership,
     configuration: configuration.current,
   });
+  const getMembers = membership.members.get;
+  const getMemberIds = () => getMembers().map(member => member.id);
+  const lenders = createSlotLenders({
+    memberId: self.id,
+    getMemberIds,
+    getLeaders: leadership.getLeaders,
+    isLeased: () => membership.getLease() !== undefined,
+  });
   const leaders = createPoolLeaders({
+    lenders,
     system,
     outside,
     telemetry,
@@ -85,19 +107,45 @@
     configuration,
     leadership,
   });
+  const poolHosts = createPoolHostsCache(view);
+  const borrower = createSlotBorrower({
+    self,
+    peers,
+    getMembers,
+    getLeaders: leadership.getLeaders,
+    lend: lenders.lend,
+    getPools: () => listPools(configuration),
+    takeUsage: pool => requests.takeUsage(pool),
+    getSplit: pool =>
+      splitStatically({
+        hosts: poolHosts.get(pool),
+        memberIds: getMemberIds(),
+        memberId: self.id,
+      }),
+    onChange: pool => requests.review(pool),
+  });
   const requests = createRequests({
     system,
     workers,
     telemetry,
     configuration: configuration.current,
-    getPoolHosts: view.getPoolHosts,
-    getMemberIds: () => membership.members.get().map(member => member.id),
-    memberId: self.id,
-    slotPolicy,
+    getPoolHosts: poolHosts.get,
+    availabilityZone: self.availabilityZone,
+    silenceMs,
+    sharing: createSlotSharing({
+      kind: slotPolicy,
+      memberId: self.id,
+      getHosts: poolHosts.get,
+      getMembers,
+      borrower,
+    }),
   });
 
   function dispose(): void {
+    borrower.dispose();
+    poolHosts.dispose();
     leaders.dispose();
+    lenders.dispose();
     leadership.dispose();
     heartbeats.dispose();
     membership.dispose();
@@ -132,6 +180,7 @@
           configurationRevision: getRevision(),
         }),
       },
+      {method: borrowMethod, handle: async report => lenders.lend(report)},
     ],
     isReady: () =>
       !stopping &&
@@ -151,3 +200,8 @@
     dispose,
   };
 }
+
+function listPools(configuration: ConfigurationActor): readonly string[] {
+  const profiles = configuration.current.get()?.profiles ?? [];
+  return [...new Set(profiles.map(profile => profile.pool))];
+}
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -56,7 +56,13 @@
     startedAt: Date.now(),
     leaving: false,
   };
-  const core = createCore({self: member, outside, telemetry});
+  const core = createCore({
+    self: member,
+    outside,
+    telemetry,
+    slotPolicy: settings.slotPolicy,
+    silenceMs: settings.silenceMs,
+  });
   peerServer.serve(core.handlers);
   callers.serve(createCallersHandle({...core, telemetry}));
   operators.serve(
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -2,7 +2,7 @@
 import {ConfigurationActor} from '../actors/configuration';
 import {FleetView, createPoolFleetActor} from '../actors/fleet';
 import {createPoolJobsActor} from '../actors/jobs';
-import {createPoolSlots} from '../actors/slots';
+import {SlotLenders} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
 import {Outside} from './outside';
@@ -20,6 +20,7 @@
   readonly view: FleetView;
   readonly configuration: ConfigurationActor;
   readonly leadership: LeadershipActor;
+  readonly lenders: SlotLenders;
 }
 
 interface Led {
@@ -53,14 +54,13 @@
         configuration.current.get()?.profiles.find(p => p.pool === pool),
     });
     const getHosts = () => view.getPoolHosts(pool);
-    const slots = createPoolSlots(getHosts);
+    const slots = options.lenders.open(pool, term, getHosts);
     const jobs = createPoolJobsActor({...shared, getHosts, slots});
     return {
       term,
       dispose() {
         fleet.dispose();
         jobs.dispose();
-        slots.dispose();
       },
     };
   }
