--- a/src/actors/jobs/preempter.ts
+++ b/src/actors/jobs/preempter.ts
@@ -1,6 +1,6 @@
 import {Candidate, chooseVictims} from '../../decisions/jobs';
 import {TaskOrder, TaskState} from '../../ports';
-import {AttemptEnd, DecisionKind, HostState, Job, JobState} from '../../types';
+import {AttemptEnd, DecisionKind, Job, JobState} from '../../types';
 import {Holding} from './held_slots';
 import {HostPoller} from './host_poller';
 import {JobsContext} from './jobs_context';
@@ -15,8 +15,6 @@
 }
 
 const AT_ONCE = 32;
-/** A task on a draining host that ends sooner is left to end, in ms. */
-const DRAIN_GRACE_MS = 5_000;
 
 /** Creates the preempter. */
 export function createPreempter(
@@ -34,7 +32,6 @@
     reviewing = true;
     try {
       await makeRoom();
-      await leaveDraining();
     } finally {
       reviewing = false;
     }
@@ -62,24 +59,6 @@
     );
   }
 
-  async function leaveDraining(): Promise<void> {
-    const draining = new Set(
-      context
-        .getHosts()
-        .filter(({state}) => state === HostState.Draining)
-        .map(({host}) => host.id),
-    );
-    if (draining.size === 0) return;
-    const leaving = [...heldSlots.all()].filter(holding => {
-      if (!draining.has(holding.hostId)) return false;
-      const {idempotent, remainingMs} = describe(holding);
-      return idempotent && remainingMs > DRAIN_GRACE_MS;
-    });
-    await runBounded(leaving, AT_ONCE, holding =>
-      preempt(holding, `${holding.hostId} is being drained`),
-    );
-  }
-
   /** Has the worker checkpoint a task; its record follows with the next report. */
   async function preempt(holding: Holding, cause: string): Promise<void> {
     const {job, hostId, attempt} = holding;
