--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -1,9 +1,13 @@
 import {runPathBench} from './path';
+import {runAtMostOnceBench} from './requests/at_most_once';
+import {runPlannedStopBench} from './requests/planned_stop';
 import {runScaleBench} from './scale';
 import {Bench} from './shared';
 
 /** Every bench by its name. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
+  'at-most-once': runAtMostOnceBench,
   path: runPathBench,
+  'planned-stop': runPlannedStopBench,
   scale: runScaleBench,
 };
--- a/bench/shared/process_site.ts
+++ b/bench/shared/process_site.ts
@@ -32,6 +32,8 @@
   /** Reads a worker's runs and the most slots that were in use at once. */
   readRuns(host: Host): Promise<{runs: RunRecord[]; slotsPeak: number}>;
   readStoreCalls(): Promise<Record<CallKind, number>>;
+  /** Counts the writes so far to keys that start with an area such as "claims/". */
+  countStoreWrites(area: string): Promise<number>;
   dispose(): Promise<void>;
 }
 
@@ -118,6 +120,10 @@
         CallKind,
         number
       >,
+    async countStoreWrites(prefix) {
+      const answer = await callJson('POST', `${platformUrl}/writes`, {prefix});
+      return (answer as {writes: number}).writes;
+    },
     async dispose() {
       await Promise.all(entries.map(entry => entry.child.end('SIGKILL')));
       await workers.end('SIGKILL');
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -72,6 +72,10 @@
       return sendJson(response, 200, faults);
     }
     if (path === '/calls') return sendJson(response, 200, calls);
+    if (path === '/writes') {
+      const {prefix = ''} = body as StoreCall;
+      return sendJson(response, 200, {writes: keyValue.countWrites(prefix)});
+    }
     return answerStoreCall(store, path, body as StoreCall, response);
   }
 
