--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -10,11 +10,8 @@
 let installed: ReturnType<typeof FakeTimers.install> | undefined;
 const systemRandom = Math.random;
 
-/** Tag of scenarios that need the system's clock for a library's sockets. */
-const REAL_CLOCK = '@real-clock';
-
-Before(({pickle}) => {
-  if (pickle.tags.some(({name}) => name === REAL_CLOCK)) return;
+/** Scenarios over real sockets keep the real clock and wait for events only. */
+Before({tags: 'not @real-clock'}, () => {
   installed = FakeTimers.install({
     now: START_AT,
     toFake: [
@@ -63,16 +60,18 @@
  *
  * @param isDone the condition
  * @param limitMs longest time to advance
+ * @param stepMs time between two looks at the condition
  * @returns time advanced in ms
  * @throws Error if the condition doesn't hold in time
  */
 export async function advanceUntil(
   isDone: () => boolean | Promise<boolean>,
   limitMs: number,
+  stepMs = STEP_MS,
 ): Promise<number> {
-  for (let passed = 0; passed <= limitMs; passed += STEP_MS) {
+  for (let passed = 0; passed <= limitMs; passed += stepMs) {
     if (await isDone()) return passed;
-    await advance(STEP_MS);
+    await advance(stepMs);
   }
   throw new Error(`did not happen within ${limitMs} ms`);
 }
@@ -95,3 +94,12 @@
   await advanceUntil(() => settled, limitMs);
   return promise;
 }
+
+/**
+ * Advances the paused clock without letting promises run in between.
+ *
+ * @param ms time to advance
+ */
+export function tickSync(ms: number): void {
+  installed?.tick(ms);
+}
--- a/src/http/shared/listener.ts
+++ b/src/http/shared/listener.ts
@@ -1,10 +1,19 @@
-import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {
+  IncomingMessage,
+  Server,
+  ServerOptions,
+  ServerResponse,
+  createServer,
+} from 'node:http';
+import type {Server as TlsServer} from 'node:https';
 import {AddressInfo, Socket} from 'node:net';
+import {TlsIdentity} from '../../security';
 import {Outcome, RefusalReason} from '../../types';
 import {answerClientError, refuseTunnel} from './client_error';
 import {createOpenRequests} from './open_requests';
 import {sendProblem} from './problem';
 import {RequestError} from './request_error';
+import {createReloadingServer} from './tls_server';
 
 /** A listening HTTP server. */
 export interface Listener {
@@ -53,34 +62,36 @@
  * @param address IP address to listen on
  * @param port TCP port; 0 picks a free one
  * @param limits limits other than the defaults
+ * @param identity TLS material; plain HTTP without one
  */
 export async function createListener(
   address: string,
   port: number,
   limits: ListenerLimits = {},
+  identity?: TlsIdentity,
 ): Promise<Listener> {
   let handle: Handle = refuseEarly;
   let closing = false;
   const open = createOpenRequests();
-  const server = createServer(
-    {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: limits.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
-      requestTimeout: limits.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval:
-        limits.checkIntervalMs ?? CHECK_CONNECTIONS_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      requireHostHeader: true,
-    },
-    (request, response) => {
-      open.add(request, response);
-      if (closing) response.setHeader('connection', 'close');
-      response.on('finish', () => linger(request));
-      handle(request, response).catch((error: Error) =>
-        sendError(response, error),
-      );
-    },
-  );
+  const options: ServerOptions = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: limits.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
+    requestTimeout: limits.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+    connectionsCheckingInterval: limits.checkIntervalMs ?? CHECK_CONNECTIONS_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    requireHostHeader: true,
+  };
+  const server = identity
+    ? createReloadingServer(identity, options)
+    : createServer(options);
+  server.on('request', (request, response) => {
+    open.add(request, response);
+    if (closing) response.setHeader('connection', 'close');
+    response.on('finish', () => linger(request));
+    handle(request, response).catch((error: Error) =>
+      sendError(response, error),
+    );
+  });
   server.maxConnections = limits.maxConnections ?? MAX_CONNECTIONS;
   server.maxHeadersCount = MAX_HEADERS;
   server.on('clientError', (error, socket) =>
@@ -112,7 +123,11 @@
   };
 }
 
-function listen(server: Server, address: string, port: number): Promise<void> {
+function listen(
+  server: Server | TlsServer,
+  address: string,
+  port: number,
+): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, address, resolve);
