Take the bound on claim writes from the store's target, and run more seeds

The bound of 120 writes for 400 requests, taken from no target, was exceeded with 142, since partitions may now commit 4 times at once.

Change: the scenario sends 1,000 requests in the same 2 seconds and allows 200 writes, which is the target of 50 calls a second over the 4 seconds until all ends are recorded: 0.2 writes a claim in place of 0.3. Twenty seeds of mixed faults in place of 12. A caller of a crashed entry host has no answer, rather than an error of the test. Steps have 120 s of the system's clock, so that a busy machine fails no step.

--- a/features/claims/at_most_once.feature
+++ b/features/claims/at_most_once.feature
@@ -62,10 +62,18 @@
   @promise-at-most-once
   Scenario: Store writes do not follow the rate of claims
     Given a claims site of 4 entry hosts
-    When 400 keyed requests go in over 2 seconds at every entry host in turn
-    Then the store took at most 120 writes of claims
+    When 1000 keyed requests go in over 2 seconds at every entry host in turn
+    Then the store took at most 200 writes of claims
     And the history of keyed requests holds
 
   @promise-at-most-once @promise-not-run @failure-crash @failure-partition @failure-lost-answer @failure-store-down @failure-store-slow @failure-lapsed-lease @failure-race
-  Scenario: Keyed requests under faults that come together
-    Then over 12 seeds the history of keyed requests under random faults holds
+  Scenario Outline: Keyed requests under faults that come together, seeds from <first>
+    Then over 4 seeds from <first> the history of keyed requests under random faults holds
+
+    Examples:
+      | first |
+      | 1     |
+      | 5     |
+      | 9     |
+      | 13    |
+      | 17    |
--- a/features/claims/at_most_once.steps.ts
+++ b/features/claims/at_most_once.steps.ts
@@ -142,10 +142,10 @@
 });
 
 Then(
-  'over {int} seeds the history of keyed requests under random faults holds',
-  async (seeds: number) => {
+  'over {int} seeds from {int} the history of keyed requests under random faults holds',
+  async (seeds: number, first: number) => {
     let run = 0;
-    for (let seed = 1; seed <= seeds; seed += 1) {
+    for (let seed = first; seed < first + seeds; seed += 1) {
       const history = await runFaultySite(seed);
       assert.deepEqual(checkRequests(history), [], `seed ${seed}`);
       run += history.runs.length;
--- a/features/claims/request_history.ts
+++ b/features/claims/request_history.ts
@@ -1,3 +1,4 @@
+import type {InteractiveRequest} from '../../src/actors/requests';
 import {
   RequestAnswer,
   RequestAttempt,
@@ -36,7 +37,7 @@
     const requestId = `request-${attempts.length + 1}`;
     attempts.push({requestId, idempotencyKey, idempotent, content});
     const key = idempotencyKey ? {'idempotency-key': idempotencyKey} : {};
-    const result = await site.entries[entry].core.requests.run({
+    const result = await run(entry, {
       id: requestId,
       service: 'planner-api',
       team: '',
@@ -48,6 +49,7 @@
       idempotencyKey,
       deadlineMs: options.deadlineMs,
     });
+    if (!result) return {requestId, outcome: Outcome.Unknown, complete: false};
     const answer: RequestAnswer = result.isErr
       ? {requestId, outcome: result.error.outcome, complete: false}
       : {requestId, ...(await read(result.value.body))};
@@ -55,6 +57,15 @@
     return answer;
   }
 
+  /** Runs a request; a crashed entry host answers nothing. */
+  async function run(entry: number, request: InteractiveRequest) {
+    try {
+      return await site.entries[entry].core.requests.run(request);
+    } catch {
+      return undefined;
+    }
+  }
+
   async function read(body: AsyncIterable<unknown>) {
     const outcome = Outcome.Run;
     const chunks: Buffer[] = [];
--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -1,4 +1,4 @@
-import {After, Before} from '@cucumber/cucumber';
+import {After, Before, setDefaultTimeout} from '@cucumber/cucumber';
 import FakeTimers from '@sinonjs/fake-timers';
 import prand from 'pure-rand';
 
@@ -6,6 +6,10 @@
 const START_AT = Date.UTC(2026, 0, 5);
 const SEED = 20260105;
 const STEP_MS = 50;
+/** Limit of a step on the system's clock, which a busy machine must not reach, in ms. */
+const STEP_LIMIT_MS = 120_000;
+
+setDefaultTimeout(STEP_LIMIT_MS);
 
 let installed: ReturnType<typeof FakeTimers.install> | undefined;
 const systemRandom = Math.random;
