Stream long request bodies, and send a streamed body to one worker only

Cause: every request body was held in memory up to 1 MB, and longer ones were refused.

Change: bodies up to 64 KB are kept so that they can be sent again; longer ones, up to 64 MB, pass on as they come, with the sender held back by the worker. A streamed body is never sent twice: a second attempt ends with outcome unknown. A request with an idempotency key keeps its 1 MB in memory, as its claim is told from others by the whole body. A sender that goes away halfway leaves an error, never a clean short body.

--- a/features/http/hardening.feature
+++ b/features/http/hardening.feature
@@ -34,9 +34,11 @@
 
   Scenario: Too much of anything is refused with its reason
     Given the HTTP ports of an entry host
-    When a body of 2000000 bytes goes to the callers' port
+    When a keyed body of 2000000 bytes goes to the callers' port
     Then the callers' port answers 413 with "exceeds"
-    When a chunked body of 2000000 bytes goes to the callers' port
+    When a keyed chunked body of 2000000 bytes goes to the callers' port
+    Then the callers' port answers 413 with "exceeds"
+    When a request that states a body of 70000000 bytes goes to the callers' port
     Then the callers' port answers 413 with "exceeds"
     When headers of 20000 bytes go to the callers' port
     Then the callers' port answers 431 with "too long"
@@ -65,6 +67,24 @@
       | 4     |
       | 12    |
 
+  @promise-whole-answer
+  Scenario: A long body without a key is passed on as it comes
+    Given the HTTP ports of an entry host
+    When a body of 3000000 bytes is streamed through the callers' port
+    Then the streamed body arrives whole
+
+  @promise-whole-answer @promise-at-most-once
+  Scenario: A streamed body that is cut never looks whole
+    Given the HTTP ports of an entry host
+    When the sender of a streamed body goes away halfway
+    Then the streamed body ends with an error
+
+  @promise-at-most-once
+  Scenario: A streamed body goes to one worker only
+    Given workers that take a streamed body once
+    When a streamed body is sent to two workers in turn
+    Then only the first worker got the streamed body
+
   @promise-not-run
   Scenario: An internal error is not reported as not run
     Given the HTTP ports of an entry host
--- a/features/http/hardening.steps.ts
+++ b/features/http/hardening.steps.ts
@@ -22,6 +22,7 @@
 
 const ADDRESS = '127.0.0.1';
 const MAX_OPERATOR_BODY = 1_000;
+const KEY = 'idempotency-key: k';
 
 const UNKNOWN_SERVICE: Refusal = {
   reason: RefusalReason.UnknownService,
@@ -105,24 +106,34 @@
   "a request with the headers {string} goes to the callers' port",
   async (headers: string) => {
     const lines = headers.replaceAll('; ', '\r\n');
-    const text = `POST /services/a/x HTTP/1.1\r\nhost: a\r\n${lines}\r\n\r\nabc`;
+    const text = `${post(lines)}abc`;
     answers = [await sendRaw(ports.callers.port, text)];
   },
 );
 
-When("a body of {int} bytes goes to the callers' port", async (n: number) => {
-  const head = `POST /services/a/x HTTP/1.1\r\nhost: a\r\ncontent-length: ${n}`;
-  const text = `${head}\r\n\r\n${'x'.repeat(n)}`;
-  answers = [await sendRaw(ports.callers.port, text)];
-});
+When(
+  "a keyed body of {int} bytes goes to the callers' port",
+  async (n: number) => {
+    const length = `content-length: ${n}`;
+    const text = `${post(KEY, length)}${'x'.repeat(n)}`;
+    answers = [await sendRaw(ports.callers.port, text)];
+  },
+);
 
 When(
-  "a chunked body of {int} bytes goes to the callers' port",
+  "a keyed chunked body of {int} bytes goes to the callers' port",
   async (n: number) => {
-    const head =
-      'POST /services/a/x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked';
     const body = `${n.toString(16)}\r\n${'x'.repeat(n)}\r\n0\r\n\r\n`;
-    answers = [await sendRaw(ports.callers.port, `${head}\r\n\r\n${body}`)];
+    const text = `${post(KEY, 'transfer-encoding: chunked')}${body}`;
+    answers = [await sendRaw(ports.callers.port, text)];
+  },
+);
+
+When(
+  "a request that states a body of {int} bytes goes to the callers' port",
+  async (n: number) => {
+    const text = post(`content-length: ${n}`);
+    answers = [await sendRaw(ports.callers.port, text)];
   },
 );
 
@@ -272,6 +283,12 @@
   ];
 }
 
+function post(...headers: readonly string[]): string {
+  return ['POST /services/a/x HTTP/1.1', 'host: a', ...headers, '', ''].join(
+    '\r\n',
+  );
+}
+
 function get(target: string): string {
   return `GET ${target} HTTP/1.1\r\nhost: a\r\n\r\n`;
 }
--- a/src/actors/claims/claimed_requests.ts
+++ b/src/actors/claims/claimed_requests.ts
@@ -26,6 +26,18 @@
 /** Longest time to wait for a claim, in ms. */
 const CLAIM_LIMIT_MS = 2_500;
 
+const DEADLINE_PASSED: Refusal = {
+  reason: RefusalReason.DeadlinePassed,
+  outcome: Outcome.NotRun,
+  detail: 'the deadline passed before the request was sent',
+};
+
+const BODY_TOO_LARGE: Refusal = {
+  reason: RefusalReason.BodyTooLarge,
+  outcome: Outcome.NotRun,
+  detail: 'a request with an idempotency key must have a body kept in memory',
+};
+
 /**
  * Puts claims in front of requests: a non-idempotent request with a key runs
  * only under a durable claim of its key.
@@ -48,7 +60,9 @@
     deadlineMs: number,
   ): Promise<Result<Answer, Refusal>> {
     const endsAt = performance.now() + deadlineMs;
-    const identity = identifyRequest({...request, idempotencyKey});
+    const {body} = request;
+    if (!Buffer.isBuffer(body)) return refuse(request, BODY_TOO_LARGE);
+    const identity = identifyRequest({...request, idempotencyKey, body});
     const limitMs = Math.min(CLAIM_LIMIT_MS, deadlineMs);
     const claim = await claims.claim(identity, request.id, limitMs);
     if (claim.verdict !== ClaimVerdict.Granted) {
@@ -57,7 +71,7 @@
     const leftMs = endsAt - performance.now();
     if (leftMs <= 0 || request.signal?.aborted) {
       void finish(request, identity, Outcome.NotRun);
-      return refuse(request, RefusalReason.DeadlinePassed);
+      return refuse(request, DEADLINE_PASSED);
     }
     const left = {...request, deadlineMs: leftMs};
     const result = await requests.run(left);
@@ -93,21 +107,15 @@
     if (verdict === ClaimVerdict.Unavailable) {
       void finish(request, identity, Outcome.NotRun);
     }
-    const refusal = refuseClaim(verdict);
-    telemetry.refused(request.service, refusal.reason);
-    return Result.err(refusal);
+    return refuse(request, refuseClaim(verdict));
   }
 
   function refuse(
     {service}: InteractiveRequest,
-    reason: RefusalReason,
+    refusal: Refusal,
   ): Result<Answer, Refusal> {
-    telemetry.refused(service, reason);
-    return Result.err({
-      reason,
-      outcome: Outcome.NotRun,
-      detail: 'the deadline passed before the request was sent',
-    });
+    telemetry.refused(service, refusal.reason);
+    return Result.err(refusal);
   }
 
   return {
--- a/src/actors/requests/interactive_request.ts
+++ b/src/actors/requests/interactive_request.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Readable} from 'node:stream';
 
 /** An interactive request as it came in. */
 export interface InteractiveRequest {
@@ -9,7 +10,8 @@
   /** Path and query after the service's name, starting with "/". */
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
+  /** A short body in memory, or a long one that can be read once. */
+  readonly body: Buffer | Readable;
   /** Whether it may be run again; the profile's default if undefined. */
   readonly idempotent?: boolean;
   readonly idempotencyKey?: string;
--- a/src/http/callers/read_request.ts
+++ b/src/http/callers/read_request.ts
@@ -1,7 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {InteractiveRequest} from '../../actors/requests';
-import {createBadRequest, readBody} from '../shared';
+import {createBadRequest} from '../shared';
+import {readRequestBody} from './request_body';
 import {
   forwardHeaders,
   readFlag,
@@ -9,7 +10,6 @@
   readText,
 } from './request_headers';
 
-const MAX_BODY_BYTES = 1_048_576;
 const MAX_DEADLINE_MS = 600_000;
 const MAX_TEXT = 255;
 
@@ -47,7 +47,8 @@
     deadlineMs: readNumber(request, 'sesamefront-deadline-ms', MAX_DEADLINE_MS),
     signal: abort.signal,
   };
-  return {...read, body: await readBody(request, MAX_BODY_BYTES)};
+  const keyed = read.idempotencyKey !== undefined;
+  return {...read, body: await readRequestBody(request, keyed)};
 }
 
 interface Target {
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,5 +1,9 @@
 import {start, stop} from 'nact';
-import {createClaimedRequests, createClaims} from '../actors/claims';
+import {
+  createClaimedRequests,
+  createClaims,
+  createSingleUseWorkers,
+} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
@@ -108,7 +112,7 @@
   });
   const routed = createRequests({
     system,
-    workers,
+    workers: createSingleUseWorkers(workers),
     telemetry,
     configuration: configuration.current,
     getPoolHosts: view.getPoolHosts,
