--- a/src/settings/setting.ts
+++ b/src/settings/setting.ts
@@ -14,6 +14,8 @@
   readonly defaultValue?: string | number | readonly string[];
   /** True if the value may be given several times. */
   readonly repeatable?: boolean;
+  /** True if the help text leaves it out. */
+  readonly hidden?: boolean;
   /** True if the value must not be shown. */
   readonly secret?: boolean;
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -25,10 +25,16 @@
   createLeadershipActor,
   createMembershipActor,
 } from '../actors/membership';
-import {Requests, createRequests} from '../actors/requests';
-import {SlotPolicy, splitStatically} from '../decisions/requests';
+import {
+  Requests,
+  createPoolHostsCache,
+  createRequests,
+  createSlotSharing,
+} from '../actors/requests';
+import {createSlotBorrower, createSlotLenders} from '../actors/slots';
+import {SlotPolicyKind, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
-import {heartbeatMethod} from '../protocol';
+import {borrowMethod, heartbeatMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
 import {Member} from '../types';
 import {Outside} from './outside';
@@ -62,15 +68,22 @@
   readonly self: Member;
   readonly outside: Outside;
   readonly telemetry: Telemetry;
-  /** Decides which slots this entry host may use. */
-  readonly slotPolicy?: SlotPolicy;
+  /** Way of sharing slots; lending by default. */
+  readonly slotPolicy?: SlotPolicyKind;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
   /** Time that a claim of an idempotency key is kept at least, in ms. */
   readonly claimRetentionMs?: number;
 }
 
+/** Least wait for the first byte of an idempotent request's answer. */
+export const DEFAULT_SILENCE_MS = 1_000;
+
 /** Wires an entry host's actors. */
 export function createCore(options: CoreOptions): Core {
-  const {self, outside, telemetry, slotPolicy = splitStatically} = options;
+  const {self, outside, telemetry} = options;
+  const {slotPolicy = SlotPolicyKind.Lending} = options;
+  const {silenceMs = DEFAULT_SILENCE_MS} = options;
   const {store, hostList, workers, peers} = outside;
   const system = start();
   let stopping = false;
@@ -93,7 +106,16 @@
     membership,
     configuration: configuration.current,
   });
+  const getMembers = membership.members.get;
+  const getMemberIds = () => getMembers().map(member => member.id);
+  const lenders = createSlotLenders({
+    memberId: self.id,
+    getMemberIds,
+    getLeaders: leadership.getLeaders,
+    isLeased: () => membership.getLease() !== undefined,
+  });
   const leaders = createPoolLeaders({
+    lenders,
     system,
     outside,
     telemetry,
@@ -110,15 +132,38 @@
     getMembers: membership.members.get,
     retentionMs: options.claimRetentionMs,
   });
+  const poolHosts = createPoolHostsCache(view);
+  const borrower = createSlotBorrower({
+    self,
+    peers,
+    getMembers,
+    getLeaders: leadership.getLeaders,
+    lend: lenders.lend,
+    getPools: () => listPools(configuration),
+    takeUsage: pool => routed.takeUsage(pool),
+    getSplit: pool =>
+      splitStatically({
+        hosts: poolHosts.get(pool),
+        memberIds: getMemberIds(),
+        memberId: self.id,
+      }),
+    onChange: pool => routed.review(pool),
+  });
   const routed = createRequests({
     system,
     workers: createSingleUseWorkers(workers),
     telemetry,
     configuration: configuration.current,
-    getPoolHosts: view.getPoolHosts,
-    getMemberIds: () => membership.members.get().map(member => member.id),
-    memberId: self.id,
-    slotPolicy,
+    getPoolHosts: poolHosts.get,
+    availabilityZone: self.availabilityZone,
+    silenceMs,
+    sharing: createSlotSharing({
+      kind: slotPolicy,
+      memberId: self.id,
+      getHosts: poolHosts.get,
+      getMembers,
+      borrower,
+    }),
   });
   const requests = createClaimedRequests({
     requests: routed,
@@ -128,7 +173,10 @@
   });
 
   function dispose(): void {
+    borrower.dispose();
+    poolHosts.dispose();
     leaders.dispose();
+    lenders.dispose();
     leadership.dispose();
     heartbeats.dispose();
     membership.dispose();
@@ -166,6 +214,7 @@
           configurationRevision: getRevision(),
         }),
       },
+      {method: borrowMethod, handle: async report => lenders.lend(report)},
     ],
     isReady: () =>
       !stopping &&
@@ -185,3 +234,8 @@
     dispose,
   };
 }
+
+function listPools(configuration: ConfigurationActor): readonly string[] {
+  const profiles = configuration.current.get()?.profiles ?? [];
+  return [...new Set(profiles.map(profile => profile.pool))];
+}
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -2,7 +2,7 @@
 import {ConfigurationActor} from '../actors/configuration';
 import {FleetView, createPoolFleetActor} from '../actors/fleet';
 import {Caretaker, createPoolJobsActor} from '../actors/jobs';
-import {createPoolSlots} from '../actors/slots';
+import {SlotLenders} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
 import {Outside} from './outside';
@@ -20,6 +20,7 @@
   readonly view: FleetView;
   readonly configuration: ConfigurationActor;
   readonly leadership: LeadershipActor;
+  readonly lenders: SlotLenders;
 }
 
 interface Led {
@@ -59,7 +60,7 @@
       getConfiguration: configuration.current.get,
     });
     const getHosts = () => view.getPoolHosts(pool);
-    const slots = createPoolSlots(getHosts);
+    const slots = options.lenders.open(pool, term, getHosts);
     const jobs = createPoolJobsActor({
       ...shared,
       getHosts,
@@ -67,19 +68,15 @@
       getProfile,
       onSuspect: (hostId, cause) => void fleet.quarantine(hostId, cause),
     });
-    const disposeOthers = () => {
-      fleet.dispose();
-      slots.dispose();
-    };
     return {
       term,
       dispose() {
         jobs.dispose();
-        disposeOthers();
+        fleet.dispose();
       },
       resign() {
         const caretaker = jobs.resign();
-        disposeOthers();
+        fleet.dispose();
         return caretaker;
       },
     };
