--- a/features/jobs/interleavings.feature
+++ b/features/jobs/interleavings.feature
@@ -4,7 +4,7 @@
 
   @promise-long-work @promise-at-most-once @failure-race @failure-lapsed-lease @failure-lost-answer @failure-crash @failure-partition @failure-store-down
   Scenario Outline: Leaders overlap, workers reboot and answers are lost
-    Then 5 random histories of jobs from seed <seed> hold every promise of long work
+    Then 15 random histories of jobs from seed <seed> hold every promise of long work
 
     Examples:
       | seed |
