--- a/features/jobs/long_work.feature
+++ b/features/jobs/long_work.feature
@@ -73,10 +73,10 @@
     And the pool's job history holds every promise
 
   @promise-long-work @promise-leaving
-  Scenario: A draining host is left by long work that would run on
+  Scenario: A host that the platform takes away is left by long work that would run on
     Given a pool of 3 long-work hosts with 8 slots
     When 24 jobs of 30000 ms are submitted to the pool
-    And 2 seconds later the first long-work host drains
+    And 2 seconds later the platform announces that the first long-work host leaves
     Then within 2 seconds the first long-work host runs no task
     And within 120 seconds every job of the pool is "done"
 
--- a/features/jobs/long_work.steps.ts
+++ b/features/jobs/long_work.steps.ts
@@ -323,11 +323,11 @@
 });
 
 When(
-  '{int} seconds later the first long-work host drains',
+  '{int} seconds later the platform announces that the first long-work host leaves',
   async (seconds: number) => {
     await advance(seconds * 1_000);
-    pool.states.set(pool.hosts[0].id, HostState.Draining);
-    pool.workers[0].setDraining(true);
+    pool.states.set(pool.hosts[0].id, HostState.Leaving);
+    pool.workers[0].setLeaving(true);
   },
 );
 
--- a/features/product/tls.steps.ts
+++ b/features/product/tls.steps.ts
@@ -52,7 +52,7 @@
   async (given: string) => {
     token = given;
     identity = createIdentity(first);
-    listener = await createListener(ADDRESS, 0, identity);
+    listener = await createListener(ADDRESS, 0, {}, identity);
     const route = {
       method: 'GET' as const,
       path: '/v1/status',
--- a/src/actors/jobs/attempt_follower.ts
+++ b/src/actors/jobs/attempt_follower.ts
@@ -171,7 +171,11 @@
     if (lapsed) await ends.record(entry, AttemptEnd.Lost);
   }
 
-  /** Stops a task that no record asks for and forgets an ended one. */
+  /**
+   * Stops a task that its record no longer asks for and forgets an ended one.
+   *
+   * A task without any record isn't stopped: nobody renews its lease.
+   */
   async function clearTask(watch: HostWatch, task: TaskReport): Promise<void> {
     const name = nameTask(task);
     const entry = mirror.entries.get().get(`jobs/${pool}/${task.jobId}`);
@@ -186,6 +190,7 @@
       return;
     }
     unwanted.delete(name);
+    if (!ENDS[task.state] && !entry) return;
     if (!ENDS[task.state]) {
       const order = TaskOrder.Stop;
       const {jobId, attempt} = task;
--- a/src/actors/jobs/preempter.ts
+++ b/src/actors/jobs/preempter.ts
@@ -6,7 +6,7 @@
 import {JobsContext} from './jobs_context';
 import {runBounded} from './run_bounded';
 
-/** Makes long work give slots to interactive work and leave draining hosts. */
+/** Makes long work give slots to interactive work and leave hosts that go out of service. */
 export interface Preempter {
   /** Reviews the shortage; resolves when the orders are answered. */
   review(): Promise<void>;
@@ -15,8 +15,10 @@
 }
 
 const AT_ONCE = 32;
-/** A task on a draining host that ends sooner is left to end, in ms. */
-const DRAIN_GRACE_MS = 5_000;
+/** States of hosts that long work leaves. */
+const LEFT: readonly HostState[] = [HostState.Quarantined, HostState.Leaving];
+/** A task on such a host that ends sooner is left to end, in ms. */
+const LEAVE_GRACE_MS = 5_000;
 
 /** Creates the preempter. */
 export function createPreempter(
@@ -34,7 +36,7 @@
     reviewing = true;
     try {
       await makeRoom();
-      await leaveDraining();
+      await leaveHosts();
     } finally {
       reviewing = false;
     }
@@ -62,21 +64,21 @@
     );
   }
 
-  async function leaveDraining(): Promise<void> {
-    const draining = new Set(
+  async function leaveHosts(): Promise<void> {
+    const left = new Set(
       context
         .getHosts()
-        .filter(({state}) => state === HostState.Draining)
+        .filter(({state}) => LEFT.includes(state))
         .map(({host}) => host.id),
     );
-    if (draining.size === 0) return;
+    if (left.size === 0) return;
     const leaving = [...heldSlots.all()].filter(holding => {
-      if (!draining.has(holding.hostId)) return false;
+      if (!left.has(holding.hostId)) return false;
       const {idempotent, remainingMs} = describe(holding);
-      return idempotent && remainingMs > DRAIN_GRACE_MS;
+      return idempotent && remainingMs > LEAVE_GRACE_MS;
     });
     await runBounded(leaving, AT_ONCE, holding =>
-      preempt(holding, `${holding.hostId} is being drained`),
+      preempt(holding, `${holding.hostId} is ${stateOf(holding.hostId)}`),
     );
   }
 
@@ -132,6 +134,10 @@
     return Math.max(0, total * (1 - (task?.progress ?? 0)) || total - ranMs);
   }
 
+  function stateOf(hostId: string): HostState | undefined {
+    return context.getHosts().find(({host}) => host.id === hostId)?.state;
+  }
+
   function isRunning(id: string): boolean {
     return findJob(id)?.state === JobState.Running;
   }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,9 +1,17 @@
 import {start, stop} from 'nact';
+import {createClaimedRequests, createClaims} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
 } from '../actors/configuration';
-import {FleetView, Waves, createFleetView, createWaves} from '../actors/fleet';
+import {
+  FleetView,
+  HostCalls,
+  Waves,
+  createFleetView,
+  createHostCalls,
+  createWaves,
+} from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
   Heartbeats,
@@ -30,6 +38,7 @@
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
+  readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
   /** What answers the calls of other members. */
@@ -51,6 +60,8 @@
   readonly telemetry: Telemetry;
   /** Decides which slots this entry host may use. */
   readonly slotPolicy?: SlotPolicy;
+  /** Time that a claim of an idempotency key is kept at least, in ms. */
+  readonly claimRetentionMs?: number;
 }
 
 /** Wires an entry host's actors. */
@@ -68,6 +79,7 @@
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
+  const getProfiles = () => configuration.current.get()?.profiles ?? [];
   const getRevision = () => configuration.current.get()?.revision ?? 0;
   const heartbeats = createHeartbeats({peers, membership, getRevision});
   const leadership = createLeadershipActor({
@@ -85,7 +97,16 @@
     configuration,
     leadership,
   });
-  const requests = createRequests({
+  const claims = createClaims({
+    system,
+    store,
+    peers,
+    telemetry,
+    memberId: self.id,
+    getMembers: membership.members.get,
+    retentionMs: options.claimRetentionMs,
+  });
+  const routed = createRequests({
     system,
     workers,
     telemetry,
@@ -95,6 +116,12 @@
     memberId: self.id,
     slotPolicy,
   });
+  const requests = createClaimedRequests({
+    requests: routed,
+    claims,
+    telemetry,
+    configuration: configuration.current,
+  });
 
   function dispose(): void {
     leaders.dispose();
@@ -117,7 +144,8 @@
     heartbeats,
     leadership,
     view,
-    waves: createWaves(store, view),
+    waves: createWaves(store, view, getProfiles),
+    hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
       telemetry,
@@ -126,6 +154,7 @@
     }),
     requests,
     handlers: [
+      ...claims.handlers,
       {
         method: heartbeatMethod,
         handle: async () => ({
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -1,6 +1,10 @@
 import {ActorSystemRef} from 'nact';
 import {ConfigurationActor} from '../actors/configuration';
-import {FleetView, createPoolFleetActor} from '../actors/fleet';
+import {
+  FleetView,
+  createPoolFleetActor,
+  findHostsInLine,
+} from '../actors/fleet';
 import {Caretaker, createPoolJobsActor} from '../actors/jobs';
 import {createPoolSlots} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
@@ -52,7 +56,12 @@
     const shared = {system, store, workers, telemetry, pool, term};
     const getProfile = () =>
       configuration.current.get()?.profiles.find(p => p.pool === pool);
-    const fleet = createPoolFleetActor({...shared, view, getProfile});
+    const fleet = createPoolFleetActor({
+      ...shared,
+      view,
+      getProfile,
+      getConfiguration: configuration.current.get,
+    });
     const getHosts = () => view.getPoolHosts(pool);
     const slots = createPoolSlots(getHosts);
     const jobs = createPoolJobsActor({
@@ -60,6 +69,11 @@
       getHosts,
       slots,
       getProfile,
+      getNextDrains: () => {
+        const profile = getProfile();
+        return new Set(profile ? findHostsInLine(view, profile) : []);
+      },
+      onSuspect: (hostId, cause) => void fleet.quarantine(hostId, cause),
     });
     const disposeOthers = () => {
       fleet.dispose();
