--- a/src/actors/jobs/pool_jobs_actor.ts
+++ b/src/actors/jobs/pool_jobs_actor.ts
@@ -1,4 +1,4 @@
-import {createEstimates, isActive} from '../../decisions/jobs';
+import {createEstimates, isActive, isFinal} from '../../decisions/jobs';
 import {createMirror} from '../../state';
 import {Job, JobState} from '../../types';
 import {createActor, createTicker} from '../shared';
@@ -29,6 +29,8 @@
 }
 
 const ROUND_MS = 200;
+/** Ticks between two rounds without work. */
+const IDLE_TICKS = 50;
 const PREEMPT_MS = 100;
 const WATCHDOG_MS = 1_000;
 const RETENTION_REVIEW_MS = 60_000;
@@ -39,6 +41,9 @@
   const mirror = createMirror<Job>(store, `jobs/${pool}/`);
   let leading = true;
   let woken = false;
+  let changed = true;
+  let unfinished = false;
+  let idleTicks = 0;
 
   const supersede = () => {
     leading = false;
@@ -86,6 +91,22 @@
     await placer.place();
   }
 
+  /** Tells whether any job is unfinished or any room still held. */
+  function hasWork(): boolean {
+    if (changed) {
+      changed = false;
+      const jobs = [...mirror.entries.get().values()];
+      unfinished = jobs.some(({value}) => !isFinal(value.state));
+    }
+    return unfinished || context.heldSlots.count() > 0;
+  }
+
+  /** Runs a round while there is work, and seldom while there is none. */
+  function tick(): void {
+    idleTicks = hasWork() ? 0 : idleTicks + 1;
+    if (idleTicks % IDLE_TICKS === 0) wake();
+  }
+
   function wake(): void {
     if (woken || !leading) return;
     woken = true;
@@ -115,11 +136,16 @@
   }
 
   const stopLearning = mirror.synced.onChange(learn);
+  const stopNoting = mirror.entries.onChange(() => {
+    changed = true;
+  });
   const tickers = [
-    createTicker(ROUND_MS, wake),
-    createTicker(PREEMPT_MS, () => void preempter.review()),
+    createTicker(ROUND_MS, tick),
+    createTicker(PREEMPT_MS, () => {
+      if (context.heldSlots.count() > 0) void preempter.review();
+    }),
     createTicker(WATCHDOG_MS, () => {
-      if (leading && mirror.synced.get()) watchdog.review();
+      if (leading && hasWork()) watchdog.review();
     }),
     createTicker(RETENTION_REVIEW_MS, () => {
       if (leading && mirror.synced.get()) void retention.review();
@@ -129,6 +155,7 @@
   function dispose(): void {
     leading = false;
     stopLearning();
+    stopNoting();
     tickers.forEach(ticker => ticker.dispose());
     for (const {job} of [...context.heldSlots.all()]) {
       context.heldSlots.release(job.id);
--- a/src/actors/jobs/preempter.ts
+++ b/src/actors/jobs/preempter.ts
@@ -1,12 +1,12 @@
 import {Candidate, chooseVictims} from '../../decisions/jobs';
 import {TaskOrder, TaskState} from '../../ports';
-import {AttemptEnd, DecisionKind, Job, JobState} from '../../types';
+import {AttemptEnd, DecisionKind, HostState, Job, JobState} from '../../types';
 import {Holding} from './held_slots';
 import {HostPoller} from './host_poller';
 import {JobsContext} from './jobs_context';
 import {runBounded} from './run_bounded';
 
-/** Makes long work give slots to interactive work and leave draining hosts. */
+/** Makes long work give slots to interactive work and leave hosts that go out of service. */
 export interface Preempter {
   /** Reviews the shortage; resolves when the orders are answered. */
   review(): Promise<void>;
@@ -15,6 +15,10 @@
 }
 
 const AT_ONCE = 32;
+/** States of hosts that long work leaves. */
+const LEFT: readonly HostState[] = [HostState.Quarantined, HostState.Leaving];
+/** A task on such a host that ends sooner is left to end, in ms. */
+const LEAVE_GRACE_MS = 5_000;
 
 /** Creates the preempter. */
 export function createPreempter(
@@ -32,6 +36,7 @@
     reviewing = true;
     try {
       await makeRoom();
+      await leaveHosts();
     } finally {
       reviewing = false;
     }
@@ -59,6 +64,24 @@
     );
   }
 
+  async function leaveHosts(): Promise<void> {
+    const left = new Set(
+      context
+        .getHosts()
+        .filter(({state}) => LEFT.includes(state))
+        .map(({host}) => host.id),
+    );
+    if (left.size === 0) return;
+    const leaving = [...heldSlots.all()].filter(holding => {
+      if (!left.has(holding.hostId)) return false;
+      const {idempotent, remainingMs} = describe(holding);
+      return idempotent && remainingMs > LEAVE_GRACE_MS;
+    });
+    await runBounded(leaving, AT_ONCE, holding =>
+      preempt(holding, `${holding.hostId} is ${stateOf(holding.hostId)}`),
+    );
+  }
+
   /** Has the worker checkpoint a task; its record follows with the next report. */
   async function preempt(holding: Holding, cause: string): Promise<void> {
     const {job, hostId, attempt} = holding;
@@ -111,6 +134,10 @@
     return Math.max(0, total * (1 - (task?.progress ?? 0)) || total - ranMs);
   }
 
+  function stateOf(hostId: string): HostState | undefined {
+    return context.getHosts().find(({host}) => host.id === hostId)?.state;
+  }
+
   function isRunning(id: string): boolean {
     return findJob(id)?.state === JobState.Running;
   }
--- a/src/actors/jobs/watchdog.ts
+++ b/src/actors/jobs/watchdog.ts
@@ -58,7 +58,7 @@
     for (const {hostId, cause} of found) {
       if (suspects.has(hostId)) continue;
       telemetry.decide({
-        kind: DecisionKind.Quarantine,
+        kind: DecisionKind.Eject,
         subject: hostId,
         pool,
         cause: `${cause}; it gets no new long work`,
