Explain hosts and waves from any entry host, plan waves, serve a page

Operators could list waves but not ask why a host isn't drained, what a wave would take or how to go on after it paused. Hosts and waves now explain themselves from the store's state, so every entry host gives the same answer; waves are planned, resumed and followed; the operators' port serves a page without scripts at /. Commands about hosts have their own file.

--- a/features/fleet/fleet_model.ts
+++ b/features/fleet/fleet_model.ts
@@ -100,7 +100,12 @@
   function createOperator() {
     const gate = createGatedStore(keyValue);
     const view = createModelView(keyValue, () => [...listed.values()]);
-    const waves = createWaves(gate.store, view, () => configuration.profiles);
+    const waves = createWaves({
+      store: gate.store,
+      view,
+      telemetry,
+      getProfiles: () => configuration.profiles,
+    });
     return {gate, view, waves};
   }
 
--- a/features/support/memory_site.ts
+++ b/features/support/memory_site.ts
@@ -23,7 +23,7 @@
 import {LogLevel, Telemetry, createTelemetry} from '../../src/telemetry';
 import {Host, Member, Profile} from '../../src/types';
 import {Core, createCore} from '../../src/wiring';
-import {advanceUntil, settle} from './paused_clock';
+import {advanceUntil, settle} from './clock';
 
 /** One entry host of a site in memory, with its own faults. */
 export interface MemoryEntry {
--- a/src/actors/fleet/waves.ts
+++ b/src/actors/fleet/waves.ts
@@ -10,7 +10,15 @@
 } from '../../decisions/fleet';
 import {Store} from '../../ports';
 import {WriteOutcome, write} from '../../state';
-import {Profile, RefusalReason, Selector, Wave, WaveState} from '../../types';
+import {Telemetry} from '../../telemetry';
+import {
+  DecisionKind,
+  Profile,
+  RefusalReason,
+  Selector,
+  Wave,
+  WaveState,
+} from '../../types';
 import {FleetView} from './fleet_view';
 
 /** What an operator declares. */
@@ -41,19 +49,42 @@
   list(): readonly Wave[];
 }
 
-/**
- * Creates the operators' calls about waves.
- *
- * @param store the key-value service
- * @param view the fleet as this member knows it
- * @param getProfiles returns the profiles in force
- */
-export function createWaves(
-  store: Store,
-  view: FleetView,
-  getProfiles: () => readonly Profile[] = () => [],
-): Waves {
+/** Where the calls get what they need. */
+export interface WavesOptions {
+  readonly store: Store;
+  readonly view: FleetView;
+  readonly telemetry: Telemetry;
+  /** Returns the profiles in force. */
+  readonly getProfiles: () => readonly Profile[];
+}
+
+/** Creates the operators' calls about waves. */
+export function createWaves(options: WavesOptions): Waves {
+  const {store, view, telemetry, getProfiles} = options;
+
   async function save(
+    kind: DecisionKind,
+    wave: Wave,
+    version: number,
+  ): Promise<Result<Wave, RefusalReason>> {
+    const saved = await swap(wave, version);
+    if (saved.isErr) return refuse(saved.error);
+    telemetry.decide({
+      kind,
+      subject: wave.id,
+      pool: '',
+      cause: `${wave.id} is ${wave.state}: ${wave.cause}`,
+      inputs: {hosts: wave.hostIds.length, urgent: wave.urgent},
+    });
+    return saved;
+  }
+
+  function refuse<T>(reason: RefusalReason): Result<T, RefusalReason> {
+    telemetry.refused('maintenance', reason);
+    return Result.err(reason);
+  }
+
+  async function swap(
     wave: Wave,
     version: number,
   ): Promise<Result<Wave, RefusalReason>> {
@@ -83,16 +114,17 @@
   }
 
   async function change(
+    kind: DecisionKind,
     id: string,
     from: readonly WaveState[],
     next: (wave: Wave) => Wave,
   ): Promise<Result<Wave, RefusalReason>> {
     const known = view.waves.entries.get().get(`waves/${id}`);
-    if (!known) return Result.err(RefusalReason.NotFound);
+    if (!known) return refuse(RefusalReason.NotFound);
     if (!from.includes(known.value.state)) {
-      return Result.err(RefusalReason.Conflict);
+      return refuse(RefusalReason.Conflict);
     }
-    return save(next(known.value), known.version);
+    return save(kind, next(known.value), known.version);
   }
 
   function progressOf(wave: Wave): WaveProgress {
@@ -121,8 +153,9 @@
   return {
     async declare({selector, reason, urgent, dueAt}) {
       const hostIds = select(selector);
-      if (hostIds.length === 0) return Result.err(RefusalReason.NotFound);
+      if (hostIds.length === 0) return refuse(RefusalReason.NotFound);
       return save(
+        DecisionKind.Plan,
         {
           id: `wave-${randomUUID().slice(0, 8)}`,
           selector,
@@ -139,7 +172,7 @@
     },
     plan(selector) {
       const hostIds = select(selector);
-      if (hostIds.length === 0) return Result.err(RefusalReason.NotFound);
+      if (hostIds.length === 0) return refuse(RefusalReason.NotFound);
       const records = [...view.records.entries.get().values()];
       return Result.ok(
         planWave({
@@ -151,14 +184,19 @@
       );
     },
     cancel: id =>
-      change(id, [WaveState.Active, WaveState.Paused], wave => ({
-        ...wave,
-        state: WaveState.Cancelled,
-        cause: 'cancelled by an operator',
-        endedAt: Date.now(),
-      })),
+      change(
+        DecisionKind.Cancel,
+        id,
+        [WaveState.Active, WaveState.Paused],
+        wave => ({
+          ...wave,
+          state: WaveState.Cancelled,
+          cause: 'cancelled by an operator',
+          endedAt: Date.now(),
+        }),
+      ),
     resume: id =>
-      change(id, [WaveState.Paused], wave => ({
+      change(DecisionKind.Plan, id, [WaveState.Paused], wave => ({
         ...wave,
         state: WaveState.Active,
         cause: 'resumed by an operator',
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,5 +1,5 @@
 import type {Argv} from 'yargs';
-import {Decision, PoolHost} from '../../types';
+import {Decision} from '../../types';
 import {writeRows} from '../output';
 import {clientOf, operatorOptions} from './shared_options';
 
@@ -31,28 +31,6 @@
         writeRows(options.output, rows, status);
       },
     )
-    .command('host', 'show hosts', command =>
-      command
-        .command(
-          'list',
-          'list the hosts with their pools and states',
-          sub => sub.options(operatorOptions),
-          async options => {
-            const hosts = await clientOf(options).call<
-              (PoolHost & {pool: string})[]
-            >('GET', '/v1/hosts');
-            const rows = hosts.map(({host, pool, state}) => ({
-              id: host.id,
-              pool,
-              state,
-              rack: host.rack,
-              zone: host.availabilityZone,
-            }));
-            writeRows(options.output, rows, hosts);
-          },
-        )
-        .demandCommand(1),
-    )
     .command(
       'explain <id>',
       'show the decisions about a job, host, wave, pool or revision',
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs';
 import {addCheck} from './commands/check';
 import {addDemo} from './commands/demo';
+import {addHost} from './commands/host';
 import {addJob} from './commands/job';
 import {addMaintenance} from './commands/maintenance';
 import {addProfile} from './commands/profile';
@@ -33,6 +34,7 @@
   addProfile(parser);
   addMaintenance(parser);
   addJob(parser);
+  addHost(parser);
   addStatus(parser);
   addStandIn(parser);
   await parser.parseAsync();
--- a/src/http/operators/index.ts
+++ b/src/http/operators/index.ts
@@ -1,6 +1,9 @@
 /** The operators' port. */
+export * from './host_routes';
 export * from './operators_handle';
+export * from './page';
 export * from './profile_routes';
 export * from './route';
+export * from './send_result';
 export * from './status_routes';
 export * from './wave_routes';
--- /dev/null
+++ b/src/http/operators/page/index.ts
@@ -0,0 +1,3 @@
+/** The operators' page. */
+export * from './page_routes';
+export * from './write_page';
--- /dev/null
+++ b/src/http/operators/page/write_page.ts
@@ -0,0 +1,110 @@
+import {WaveProgress} from '../../../decisions/fleet';
+import {
+  Decision,
+  LeaderRecord,
+  Member,
+  PoolRecord,
+  Profile,
+  Wave,
+} from '../../../types';
+import {Cells, escapeHtml, writeTable} from './html';
+
+/** What the operators' page shows. */
+export interface PageContent {
+  readonly memberId: string;
+  readonly revision: number;
+  /** Time of the page in ms since the epoch. */
+  readonly at: number;
+  readonly members: readonly Member[];
+  readonly pools: readonly PagePool[];
+  readonly waves: readonly PageWave[];
+  /** Recent decisions, the newest first. */
+  readonly decisions: readonly Decision[];
+}
+
+/** One pool on the page. */
+export interface PagePool {
+  readonly profile: Profile;
+  readonly hosts: number;
+  readonly record?: PoolRecord;
+  readonly leader?: LeaderRecord;
+}
+
+/** One wave on the page. */
+export interface PageWave {
+  readonly wave: Wave;
+  readonly progress: WaveProgress;
+}
+
+const STYLE =
+  'body{font:15px system-ui,sans-serif;margin:2rem;max-width:75rem}' +
+  'table{border-collapse:collapse;width:100%;margin-bottom:2rem}' +
+  'caption{text-align:left;font-weight:600;font-size:1.1rem;padding:.5rem 0}' +
+  'th,td{text-align:left;padding:.3rem .6rem;border-bottom:1px solid #ccc}' +
+  'td{vertical-align:top}';
+
+/** Writes the operators' page as plain HTML without scripts. */
+export function writePage(content: PageContent): string {
+  const {memberId, revision, at} = content;
+  const when = new Date(at).toISOString();
+  return [
+    '<!doctype html><html lang="en"><head><meta charset="utf-8">',
+    '<meta name="viewport" content="width=device-width">',
+    `<title>sesamefront: ${escapeHtml(memberId)}</title>`,
+    `<style>${STYLE}</style></head><body><h1>sesamefront</h1>`,
+    `<p>Seen by ${escapeHtml(memberId)} at ${when}; `,
+    `revision ${revision} is in force here; `,
+    `${content.members.length} entry hosts.</p>`,
+    writePools(content.pools),
+    writeUnavailable(content.pools),
+    writeWaves(content.waves),
+    writeDecisions(content.decisions),
+    '</body></html>',
+  ].join('');
+}
+
+function writePools(pools: readonly PagePool[]): string {
+  const columns = ['pool', 'hosts', 'unavailable', 'budget', 'leader', 'term'];
+  const rows = pools.map(({profile, hosts, record, leader}): Cells => {
+    const unavailable = record?.unavailable.length ?? 0;
+    return [
+      profile.pool,
+      `${hosts} of ${profile.hosts}`,
+      unavailable,
+      profile.maxUnavailable,
+      leader?.memberId ?? 'none',
+      record?.term ?? 0,
+    ];
+  });
+  return writeTable('Pools and budgets', columns, rows);
+}
+
+function writeUnavailable(pools: readonly PagePool[]): string {
+  const columns = ['host', 'pool', 'state', 'since', 'cause'];
+  const rows = pools.flatMap(({profile, record}) =>
+    (record?.unavailable ?? []).map((entry): Cells => {
+      const since = new Date(entry.since).toISOString();
+      return [entry.hostId, profile.pool, entry.state, since, entry.cause];
+    }),
+  );
+  return writeTable('What consumes the budgets', columns, rows);
+}
+
+function writeWaves(waves: readonly PageWave[]): string {
+  const columns = ['wave', 'selector', 'state', 'done', 'cause', 'reason'];
+  const rows = waves.map(({wave, progress}): Cells => {
+    const {kind, name} = wave.selector;
+    const done = `${progress.done.length} of ${wave.hostIds.length}`;
+    const selector = `${kind} ${name}`.trim();
+    return [wave.id, selector, wave.state, done, wave.cause, wave.reason];
+  });
+  return writeTable('Maintenance waves', columns, rows);
+}
+
+function writeDecisions(decisions: readonly Decision[]): string {
+  const columns = ['time', 'decision', 'about', 'pool', 'cause'];
+  const rows = decisions.map(({at, kind, subject, pool, cause}): Cells => {
+    return [new Date(at).toISOString(), kind, subject, pool, cause];
+  });
+  return writeTable('Recent decisions of this entry host', columns, rows);
+}
--- a/src/http/operators/wave_routes.ts
+++ b/src/http/operators/wave_routes.ts
@@ -1,8 +1,10 @@
+import {ServerResponse} from 'node:http';
 import {z} from 'zod';
 import {Waves} from '../../actors/fleet';
 import {Outcome, RefusalReason, SelectorKind} from '../../types';
 import {readJson, sendJson, sendProblem} from '../shared';
 import {Route} from './route';
+import {sendResult} from './send_result';
 
 const MAX_BODY_BYTES = 65_536;
 
@@ -13,7 +15,9 @@
   dueAt: z.number().positive(),
 });
 
-/** Routes that declare, list and cancel maintenance waves. */
+const planBody = z.strictObject({selector: declarationBody.shape.selector});
+
+/** Routes that plan, declare, list, explain, resume and cancel maintenance waves. */
 export function createWaveRoutes(waves: Waves): readonly Route[] {
   return [
     {
@@ -27,12 +31,21 @@
       method: 'GET',
       path: '/v1/waves/:id',
       async answer(_, response, id) {
-        const wave = waves.list().find(known => known.id === id);
-        if (wave) return sendJson(response, 200, wave);
-        sendProblem(response, {
-          reason: RefusalReason.NotFound,
-          outcome: Outcome.NotRun,
-        });
+        const explained = waves.explain(id).map(({wave, ...rest}) => ({
+          ...wave,
+          ...rest,
+        }));
+        sendResult(response, 200, explained);
+      },
+    },
+    {
+      method: 'POST',
+      path: '/v1/wave-plans',
+      async answer(request, response) {
+        const body = await readJson<unknown>(request, MAX_BODY_BYTES);
+        const checked = planBody.safeParse(body);
+        if (!checked.success) return sendFindings(response, checked.error);
+        sendResult(response, 200, waves.plan(checked.data.selector));
       },
     },
     {
@@ -41,29 +54,34 @@
       async answer(request, response) {
         const body = await readJson<unknown>(request, MAX_BODY_BYTES);
         const checked = declarationBody.safeParse(body);
-        if (!checked.success) {
-          return sendProblem(response, {
-            reason: RefusalReason.BadRequest,
-            outcome: Outcome.NotRun,
-            findings: checked.error.issues.map(issue => ({
-              place: issue.path.map(String).join('.'),
-              message: issue.message,
-            })),
-          });
-        }
-        const result = await waves.declare(checked.data);
-        if (result.isOk) return sendJson(response, 201, result.value);
-        sendProblem(response, {reason: result.error, outcome: Outcome.NotRun});
+        if (!checked.success) return sendFindings(response, checked.error);
+        sendResult(response, 201, await waves.declare(checked.data));
+      },
+    },
+    {
+      method: 'POST',
+      path: '/v1/waves/:id/resume',
+      async answer(_, response, id) {
+        sendResult(response, 200, await waves.resume(id));
       },
     },
     {
       method: 'DELETE',
       path: '/v1/waves/:id',
       async answer(_, response, id) {
-        const result = await waves.cancel(id);
-        if (result.isOk) return sendJson(response, 200, result.value);
-        sendProblem(response, {reason: result.error, outcome: Outcome.NotRun});
+        sendResult(response, 200, await waves.cancel(id));
       },
     },
   ];
 }
+
+function sendFindings(response: ServerResponse, error: z.ZodError): void {
+  sendProblem(response, {
+    reason: RefusalReason.BadRequest,
+    outcome: Outcome.NotRun,
+    findings: error.issues.map(issue => ({
+      place: issue.path.map(String).join('.'),
+      message: issue.message,
+    })),
+  });
+}
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -126,7 +126,7 @@
     heartbeats,
     leadership,
     view,
-    waves: createWaves(store, view, getProfiles),
+    waves: createWaves({store, view, telemetry, getProfiles}),
     hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,7 +1,9 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createHostRoutes,
   createOperatorsHandle,
+  createPageRoutes,
   createProfileRoutes,
   createStatusRoutes,
   createWaveRoutes,
@@ -75,6 +77,8 @@
       [
         ...createProfileRoutes(core.configuration),
         ...createWaveRoutes(core.waves),
+        ...createHostRoutes(core.hosts),
+        ...createPageRoutes({...core, telemetry}),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
