--- /dev/null
+++ b/bench/fleet/moves.ts
@@ -0,0 +1,132 @@
+import {advance, pauseClock, resumeClock} from '../../features/support/clock';
+import {recordFleetHistory} from '../../features/support/fleet_history';
+import {
+  MemorySite,
+  configureSite,
+  createMemorySite,
+} from '../../features/support/memory_site';
+import {
+  HistoryEvent,
+  HistoryEventKind,
+  checkFleetHistory,
+} from '../../src/history/fleet';
+import {Requests} from '../../src/actors/requests';
+import {HostAssignment} from '../../src/types';
+
+/** What a time of faults or of bursts moved. */
+export interface MovesReport {
+  readonly site: string;
+  readonly hours: number;
+  readonly moves: number;
+  /** Most moves into or out of one pool, per day. */
+  readonly perPoolDay: number;
+  readonly historyFindings: number;
+}
+
+const HOUR_MS = 3_600_000;
+const DAY_HOURS = 24;
+const CHUNK_MS = 60_000;
+const BURST_MS = 8_000;
+const REQUESTS_PER_BURST = 200;
+const WORK_MS = 500;
+
+/** Lets bursts go round the pools and counts the hosts that move. */
+export function countMovesInBursts(
+  siteName: string,
+  seed: number,
+  hours: number,
+): Promise<MovesReport> {
+  return run(siteName, seed, hours, async (site, passed) => {
+    const pools = site.site.pools;
+    const {name} = pools[Math.floor(passed / BURST_MS) % pools.length];
+    for (let i = 0; i < REQUESTS_PER_BURST; i += 1) {
+      const {core} = site.entries[i % site.entries.length];
+      void sendOne(core.requests, name, `burst-${passed}-${i}`);
+    }
+    await advance(BURST_MS);
+    return BURST_MS;
+  });
+}
+
+async function sendOne(
+  requests: Requests,
+  service: string,
+  id: string,
+): Promise<void> {
+  try {
+    const answer = await requests.run({
+      id,
+      service,
+      team: '',
+      method: 'GET',
+      path: '/',
+      headers: {'work-ms': String(WORK_MS)},
+      body: Buffer.alloc(0),
+    });
+    if (answer.isOk) answer.value.body.resume();
+  } catch {
+    return;
+  }
+}
+
+/** Lets a host of each pool fail for good, in turn, and counts the hosts that move. */
+export function countMovesInFailures(
+  siteName: string,
+  seed: number,
+  hours: number,
+): Promise<MovesReport> {
+  let failed = 0;
+  return run(siteName, seed, hours, async (site, passed) => {
+    const pool = site.site.pools[failed];
+    if (pool && passed >= failed * HOUR_MS) {
+      const hostId = `${pool.name}-1`;
+      const worker = site.workers.get(hostId);
+      if (worker) worker.faults.crashed = true;
+      failed += 1;
+    }
+    await advance(CHUNK_MS);
+    return CHUNK_MS;
+  });
+}
+
+async function run(
+  siteName: string,
+  seed: number,
+  hours: number,
+  pass: (site: MemorySite, passedMs: number) => Promise<number>,
+): Promise<MovesReport> {
+  pauseClock(seed);
+  const site = createMemorySite({entries: 2, siteName});
+  try {
+    const events = recordFleetHistory(site.keyValue, site.workers.values());
+    await configureSite(site);
+    const limitMs = hours * HOUR_MS;
+    for (let passed = 0; passed < limitMs;) passed += await pass(site, passed);
+    return {site: siteName, hours, ...countMoves(events, hours)};
+  } finally {
+    site.dispose();
+    resumeClock();
+  }
+}
+
+function countMoves(events: readonly HistoryEvent[], hours: number) {
+  const pools = new Map<string, string>();
+  const perPool = new Map<string, number>();
+  let moves = 0;
+  for (const event of events) {
+    if (event.kind !== HistoryEventKind.Write || !event.value) continue;
+    if (!event.key.startsWith('hosts/')) continue;
+    const {hostId, pool} = JSON.parse(event.value) as HostAssignment;
+    const before = pools.get(hostId);
+    pools.set(hostId, pool);
+    if (before === undefined || before === pool) continue;
+    moves += 1;
+    for (const name of [before, pool]) {
+      perPool.set(name, (perPool.get(name) ?? 0) + 1);
+    }
+  }
+  const most = Math.max(0, ...perPool.values());
+  const days = Math.max(1, hours / DAY_HOURS);
+  const historyFindings = checkFleetHistory(events).length;
+  return {moves, perPoolDay: most / days, historyFindings};
+}
--- /dev/null
+++ b/bench/fleet/process_rollout.ts
@@ -0,0 +1,61 @@
+import {delay} from '../../src/state';
+import {findLowerBound} from '../../src/decisions/fleet';
+import {createProfiles} from '../../src/stand_ins/site';
+import {SelectorKind, Wave, WaveState} from '../../src/types';
+import {callJson, createProcessSite} from '../shared';
+
+/** What a roll-out over processes took. */
+export interface ProcessRollout {
+  readonly site: string;
+  readonly rolloutMs: number;
+  readonly lowerBoundMs: number;
+  readonly overLowerBound: number;
+}
+
+const FIRST_PORT = 25_000;
+const POLL_MS = 50;
+const LIMIT_MS = 120_000;
+
+/** Rolls maintenance out over a site of processes on loopback. */
+export async function runProcessRollout(
+  siteName: string,
+  entries: number,
+  rebootMs: number,
+): Promise<ProcessRollout> {
+  const site = await createProcessSite({
+    siteName,
+    entries,
+    firstPort: FIRST_PORT,
+    rebootMs,
+  });
+  try {
+    const url = `${site.entries[0].operatorUrl}/v1/waves`;
+    const startedAt = performance.now();
+    const declared = (await callJson('POST', url, {
+      selector: {kind: SelectorKind.All, name: ''},
+      reason: 'bench',
+      dueAt: Date.now() + LIMIT_MS,
+    })) as Wave;
+    await waitUntilDone(`${url}/${declared.id}`);
+    const rolloutMs = performance.now() - startedAt;
+    const lowerBoundMs = Math.max(
+      ...createProfiles(site.site).map(profile =>
+        findLowerBound(profile.hosts, profile.maxUnavailable, rebootMs),
+      ),
+    );
+    const overLowerBound = rolloutMs / lowerBoundMs;
+    return {site: siteName, rolloutMs, lowerBoundMs, overLowerBound};
+  } finally {
+    await site.dispose();
+  }
+}
+
+async function waitUntilDone(url: string): Promise<void> {
+  const endsAt = performance.now() + LIMIT_MS;
+  while (performance.now() < endsAt) {
+    const wave = (await callJson('GET', url)) as Wave;
+    if (wave.state === WaveState.Done) return;
+    await delay(POLL_MS);
+  }
+  throw new Error(`the wave did not end within ${LIMIT_MS} ms`);
+}
