--- a/src/http/operators/index.ts
+++ b/src/http/operators/index.ts
@@ -1,5 +1,6 @@
 /** The operators' port. */
 export * from './host_routes';
+export * from './job_routes';
 export * from './operators_handle';
 export * from './page';
 export * from './profile_routes';
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,3 +1,5 @@
 /** Messages between members: protobuf definitions and their gRPC methods. */
+export * from './borrow';
+export * from './claims';
 export * from './heartbeat';
 export * from './method';
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -1,5 +1,6 @@
 import {isIP} from 'node:net';
 import {z} from 'zod';
+import {SlotPolicyKind} from '../decisions/requests';
 import {LogFormat, LogLevel} from '../telemetry';
 import {Setting} from './setting';
 
@@ -151,6 +152,22 @@
       .max(MAX_CONNECTIONS, `must be at most ${MAX_CONNECTIONS}`),
     defaultValue: 8,
   },
+  {
+    key: 'silenceMs',
+    flag: 'silence-ms',
+    describe:
+      'least wait for the first byte of an idempotent answer before another worker is tried',
+    schema: timeout,
+    defaultValue: 1_000,
+  },
+  {
+    key: 'slotPolicy',
+    flag: 'slot-policy',
+    describe: 'way of sharing slots between entry hosts',
+    schema: z.enum(SlotPolicyKind),
+    defaultValue: SlotPolicyKind.Lending,
+    hidden: true,
+  },
   {
     key: 'workerTimeoutMs',
     flag: 'worker-timeout-ms',
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -2,6 +2,7 @@
 import {createCallersHandle} from '../http/callers';
 import {
   createHostRoutes,
+  createJobReleaseRoutes,
   createOperatorsHandle,
   createPageRoutes,
   createProfileRoutes,
@@ -29,6 +30,8 @@
 
 /** Time between the loss of readiness and the end of listening, in ms. */
 const BALANCER_MS = 500;
+/** Longest wait for leaderships to be handed over, in ms. */
+const HANDOVER_LIMIT_MS = 5_000;
 
 /**
  * Wires and starts an entry host.
@@ -47,10 +50,16 @@
   const telemetry = createTelemetry(memberId, settings.logLevel);
   const credentials = identity && createGrpcCredentials(identity);
   const outside = createOutside(settings, credentials);
-  const callers = await createListener(address, settings.callerPort, identity);
+  const callers = await createListener(
+    address,
+    settings.callerPort,
+    {},
+    identity,
+  );
   const operators = await createListener(
     address,
     settings.operatorPort,
+    {},
     identity,
   );
   const peerServer = await createGrpcPeerServer(
@@ -69,7 +78,13 @@
     startedAt: Date.now(),
     leaving: false,
   };
-  const core = createCore({self: member, outside, telemetry});
+  const core = createCore({
+    self: member,
+    outside,
+    telemetry,
+    slotPolicy: settings.slotPolicy,
+    silenceMs: settings.silenceMs,
+  });
   peerServer.serve(core.handlers);
   callers.serve(createCallersHandle({...core, telemetry}));
   operators.serve(
@@ -79,6 +94,7 @@
         ...createWaveRoutes(core.waves),
         ...createHostRoutes(core.hosts),
         ...createPageRoutes({...core, telemetry}),
+        ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
@@ -87,8 +103,14 @@
   let stopped: Promise<void> | undefined;
 
   async function stop(): Promise<void> {
-    await core.startStop();
+    const handedOver = core
+      .startStop()
+      .catch((error: Error) =>
+        telemetry.log.error('handing over failed', {error: error.message}),
+      );
+    callers.startClosing();
     await delay(BALANCER_MS);
+    await Promise.race([handedOver, delay(HANDOVER_LIMIT_MS)]);
     await callers.dispose();
     await core.finishStop();
     await operators.dispose();
