Share slots by need before headroom, and bench bursts

Change: slots are shared in three rounds, need, peak and headroom. Need is the mean of running requests and the part of the queue that clears in 300 ms. The feature causes the burst and checks loans, goodput, refusals and outcomes.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,13 @@
 import {parseArgs} from 'node:util';
 import {runPathBench} from './path';
+import {runRequestsBench} from './requests';
 import {runScaleBench} from './scale';
 import {Bench} from './shared';
 
 /** Every bench by its name. */
 const BENCHES: Readonly<Record<string, Bench>> = {
   path: runPathBench,
+  requests: runRequestsBench,
   scale: runScaleBench,
 };
 
--- /dev/null
+++ b/bench/requests/load.ts
@@ -0,0 +1,101 @@
+import {Agent} from 'undici';
+import prand from 'pure-rand';
+import {Outcome} from '../../src/types';
+import {delay} from '../../src/state';
+import {Attempt} from './attempt';
+
+/** A steady stream of requests for one pool's service. */
+export interface Stream {
+  readonly pool: string;
+  readonly perSecond: number;
+  /** URLs of the entry hosts; each of the callers keeps to one of them. */
+  readonly callerUrls: readonly string[];
+  readonly workMs: number;
+  readonly deadlineMs: number;
+  readonly startsAt: number;
+  readonly endsAt: number;
+}
+
+/** Callers of one service; each keeps its connection to one entry host. */
+const CALLERS = 16;
+const TICK_MS = 5;
+
+/** Sends requests on a schedule that answers don't slow down. */
+export async function runStream(
+  stream: Stream,
+  agent: Agent,
+  random: () => number,
+): Promise<readonly Attempt[]> {
+  const {callerUrls, perSecond} = stream;
+  const callers = Array.from(
+    {length: CALLERS},
+    () => callerUrls[Math.floor(random() * callerUrls.length)],
+  );
+  const sent: Promise<Attempt>[] = [];
+  await delay(stream.startsAt - performance.now());
+  while (performance.now() < stream.endsAt) {
+    const due = ((performance.now() - stream.startsAt) / 1_000) * perSecond;
+    while (sent.length < due) {
+      const caller = Math.floor(random() * callers.length);
+      sent.push(sendRequest(stream, callers[caller], agent));
+    }
+    await delay(TICK_MS);
+  }
+  return Promise.all(sent);
+}
+
+/** Creates numbers from 0 to below 1 that repeat with the seed. */
+export function createRandom(seed: number): () => number {
+  const generator = prand.xoroshiro128plus(seed);
+  const range = 2 ** 31;
+  return () =>
+    prand.unsafeUniformIntDistribution(0, range - 1, generator) / range;
+}
+
+let sequence = 0;
+
+/** Sends one request and reads the whole answer. */
+export async function sendRequest(
+  {pool, workMs, deadlineMs}: Stream,
+  callerUrl: string,
+  agent: Agent,
+): Promise<Attempt> {
+  sequence += 1;
+  const mark = `r${sequence}`;
+  const sentAt = performance.now();
+  const attempt = {requestId: '', pool, sentAt, outcome: undefined};
+  try {
+    const response = await agent.request({
+      origin: callerUrl,
+      method: 'GET',
+      path: `/services/${pool}/bench?mark=${mark}`,
+      headers: {
+        'work-ms': String(workMs),
+        'sesamefront-deadline-ms': String(deadlineMs),
+      },
+    });
+    const {headers, statusCode: status} = response;
+    const text = await response.body.text();
+    return {
+      ...attempt,
+      requestId: String(headers['sesamefront-request-id'] ?? ''),
+      endedAt: performance.now(),
+      status,
+      outcome: headers['sesamefront-outcome'] as Outcome | undefined,
+      reason: headers['sesamefront-reason'] as string | undefined,
+      whole: status === 200 && isWhole(text, mark),
+    };
+  } catch {
+    const endedAt = performance.now();
+    return {...attempt, endedAt, status: 0, reason: undefined, whole: false};
+  }
+}
+
+function isWhole(text: string, mark: string): boolean {
+  try {
+    const {path} = JSON.parse(text) as {path: string};
+    return path.endsWith(`mark=${mark}`);
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/features/requests/bursts.steps.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {
+  SlotSample,
+  countPossible,
+  findOverlentSlots,
+} from '../../src/history/slots';
+import {
+  MemorySite,
+  configureSite,
+  createMemorySite,
+} from '../support/memory_site';
+import {advance} from '../support/paused_clock';
+import {BurstAnswer, countAnswered, findFalseNotRun, runBurst} from './support';
+
+const WORK_MS = 200;
+const DEADLINE_MS = 2_000;
+const BURST_MS = 4_000;
+const SLOTS = 64;
+/** Time for the first loans after a takeover. */
+const SETTLE_MS = 4_000;
+
+let site: MemorySite;
+let answers: readonly BurstAnswer[] = [];
+let samples: SlotSample[] = [];
+let startedAt = 0;
+
+After(() => site?.dispose());
+
+Given(
+  '{int} entry hosts that share the pools of a site',
+  async (entries: number) => {
+    site = createMemorySite({entries});
+    await configureSite(site);
+    await advance(SETTLE_MS);
+  },
+);
+
+When(
+  '{string} is asked for {float} times its capacity, half of it at one entry host',
+  async (service: string, times: number) => {
+    samples = [];
+    startedAt = performance.now();
+    answers = await runBurst(
+      site,
+      {
+        service,
+        perSecond: (times * SLOTS * 1_000) / WORK_MS,
+        forMs: BURST_MS,
+        workMs: WORK_MS,
+        deadlineMs: DEADLINE_MS,
+        chooseEntry: n => (n % 2 === 0 ? 0 : n % 7),
+      },
+      () => sampleLoans(service),
+    );
+  },
+);
+
+function sampleLoans(pool: string): void {
+  const at = performance.now();
+  for (const {member, core} of site.entries) {
+    for (const {hostId, slots} of core.getLoans(pool) ?? []) {
+      samples.push({at, memberId: member.id, hostId, slots, lent: true});
+    }
+  }
+}
+
+Then(
+  'at least {int} % of what the slots could serve is answered in time',
+  (percent: number) => {
+    const arrivals = answers.map(({sentAt}) => sentAt);
+    const until = startedAt + BURST_MS;
+    const possible = countPossible(arrivals, SLOTS, WORK_MS, until);
+    const good = countAnswered(answers, DEADLINE_MS, until);
+    assert.ok(
+      good >= (percent / 100) * possible,
+      `${good} of ${possible} were answered`,
+    );
+  },
+);
+
+Then('no worker ever had more loans than slots', () => {
+  assert.ok(samples.length > 0);
+  const slotsOf = (id: string) => site.hosts.get(id)?.slots ?? 0;
+  assert.deepEqual(findOverlentSlots(samples, slotsOf), []);
+});
+
+Then('no request that was called not run was run', () => {
+  assert.deepEqual(findFalseNotRun(site, answers), []);
+});
+
+Then('half of the refusals came within {int} ms', (limitMs: number) => {
+  const times = answers
+    .filter(({result}) => result.isErr)
+    .map(({sentAt, endedAt}) => endedAt - sentAt)
+    .sort((a, b) => a - b);
+  assert.ok((times[Math.floor(times.length / 2)] ?? 0) <= limitMs);
+});
--- /dev/null
+++ b/features/requests/support.ts
@@ -0,0 +1,100 @@
+import {Result} from 'true-myth';
+import type {Answer, Refusal} from '../../src/actors/requests';
+import {Outcome} from '../../src/types';
+import {MemorySite} from '../support/memory_site';
+import {advance, settle} from '../support/paused_clock';
+
+/** What came of one request of a burst. */
+export interface BurstAnswer {
+  readonly id: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly result: Result<Answer, Refusal>;
+}
+
+/** A burst of requests for one service. */
+export interface Burst {
+  readonly service: string;
+  readonly team?: string;
+  readonly perSecond: number;
+  readonly forMs: number;
+  readonly workMs: number;
+  readonly deadlineMs: number;
+  readonly idempotent?: boolean;
+  /** Chooses the entry host of a request by its number. */
+  readonly chooseEntry: (n: number) => number;
+}
+
+const STEP_MS = 5;
+
+/** Sends a burst on the paused clock and waits for every answer. */
+export async function runBurst(
+  site: MemorySite,
+  burst: Burst,
+  onStep: () => void = () => {},
+): Promise<readonly BurstAnswer[]> {
+  const sent: Promise<BurstAnswer>[] = [];
+  for (let passed = 0; passed < burst.forMs; passed += STEP_MS) {
+    while (sent.length < (passed / 1_000) * burst.perSecond) {
+      sent.push(send(site, burst, sent.length));
+    }
+    await advance(STEP_MS);
+    onStep();
+  }
+  return settle(Promise.all(sent));
+}
+
+async function send(
+  site: MemorySite,
+  burst: Burst,
+  n: number,
+): Promise<BurstAnswer> {
+  const entry = site.entries[burst.chooseEntry(n)];
+  const id = `${burst.service}-${burst.team ?? ''}-${n}-${Math.random()}`;
+  const sentAt = performance.now();
+  const result = await entry.core.requests.run({
+    id,
+    service: burst.service,
+    team: burst.team ?? '',
+    method: 'GET',
+    path: '/',
+    headers: {'work-ms': String(burst.workMs)},
+    body: Buffer.alloc(0),
+    idempotent: burst.idempotent,
+    deadlineMs: burst.deadlineMs,
+  });
+  if (result.isOk) for await (const chunk of result.value.body) void chunk;
+  return {id, sentAt, endedAt: performance.now(), result};
+}
+
+/** Counts the answers that came whole by a time and before their deadline. */
+export function countAnswered(
+  answers: readonly BurstAnswer[],
+  deadlineMs: number,
+  until = Infinity,
+): number {
+  return answers.filter(
+    ({result, sentAt, endedAt}) =>
+      result.isOk &&
+      result.value.status === 200 &&
+      endedAt <= until &&
+      endedAt - sentAt <= deadlineMs,
+  ).length;
+}
+
+/** Returns the requests that were called not run and were run. */
+export function findFalseNotRun(
+  site: MemorySite,
+  answers: readonly BurstAnswer[],
+): readonly string[] {
+  const ran = new Set<string>();
+  for (const worker of site.workers.values()) {
+    for (const run of worker.runs) ran.add(run.id);
+  }
+  return answers
+    .filter(
+      ({result}) => result.isErr && result.error.outcome === Outcome.NotRun,
+    )
+    .map(({id}) => id)
+    .filter(id => ran.has(id));
+}
--- a/src/actors/requests/pool_requests_actor.ts
+++ b/src/actors/requests/pool_requests_actor.ts
@@ -7,6 +7,7 @@
   createRetryBudget,
   findAdmissionRefusal,
   findRetryReason,
+  findSlotNeed,
   outcomeOf,
 } from '../../decisions/requests';
 import {Workers, WorkerFailure, WorkerResponse} from '../../ports';
@@ -24,6 +25,7 @@
 import {Actor, createActor} from '../shared';
 import {SlotUsage} from '../slots';
 import {Answer} from './answer';
+import {createDemandMeter} from './demand_meter';
 import {InteractiveRequest} from './interactive_request';
 import {Refusal} from './refusal';
 import {createRequestQueue, teamWeight} from './request_queue';
@@ -113,10 +115,10 @@
   const queue = createRequestQueue();
   const running = createRunning();
   const records = createWorkerRecords();
+  const meter = createDemandMeter();
   const budgets = new Map<string, RetryBudget>();
   let hosts: readonly PoolHost[] = [];
   let hostsById: ReadonlyMap<string, PoolHost> = new Map();
-  let peak = 0;
 
   const actor: Actor<Message> = createActor<undefined, Message>({
     system,
@@ -126,8 +128,8 @@
     handle: (_, message) => {
       followHosts();
       handle(message);
-      peak = Math.max(peak, running.count + queue.size);
       dispatchQueue();
+      meter.set(running.count, queue.size);
       return undefined;
     },
   });
@@ -450,9 +452,10 @@
       }),
     getInFlight: () => running.count + queue.size,
     takeUsage() {
-      const demand = Math.max(peak, running.count + queue.size);
-      peak = running.count + queue.size;
-      return {demand, used: running.getHosts()};
+      const {peak, meanRunning} = meter.take();
+      const runMs = running.getMeanRunMs();
+      const need = findSlotNeed(meanRunning, queue.size, runMs);
+      return {demand: peak, need, used: running.getHosts()};
     },
     review: () => actor.tell({kind: MessageKind.Review}),
     dispose() {
--- a/src/actors/requests/requests.ts
+++ b/src/actors/requests/requests.ts
@@ -50,7 +50,7 @@
 }
 
 const DRAIN_POLL_MS = 20;
-const NO_USAGE: SlotUsage = {demand: 0, used: new Map()};
+const NO_USAGE: SlotUsage = {demand: 0, need: 0, used: new Map()};
 
 /** Creates the entry host's side of interactive requests. */
 export function createRequests(options: RequestsOptions): LocalRequests {
--- a/src/actors/requests/running.ts
+++ b/src/actors/requests/running.ts
@@ -11,6 +11,8 @@
   getHosts(): ReadonlyMap<string, number>;
   /** Records the time of one run in ms. */
   noteRun(service: string, runMs: number): void;
+  /** Returns the mean run time of all services in ms; 0 if none has ended. */
+  getMeanRunMs(): number;
   /** Returns the mean run time of a service in ms; 0 if none has ended. */
   getRunMs(service: string): number;
 }
@@ -22,6 +24,7 @@
   const hosts = new Map<string, number>();
   const teams = new Map<string, number>();
   const runMs = new Map<string, number>();
+  let meanRunMs: number | undefined;
   let count = 0;
 
   return {
@@ -42,15 +45,18 @@
     countTeam: team => teams.get(team) ?? 0,
     getHosts: () => new Map(hosts),
     noteRun(service, value) {
-      const known = runMs.get(service);
-      const next =
-        known === undefined ? value : known + RUN_WEIGHT * (value - known);
-      runMs.set(service, next);
+      runMs.set(service, average(runMs.get(service), value));
+      meanRunMs = average(meanRunMs, value);
     },
+    getMeanRunMs: () => meanRunMs ?? 0,
     getRunMs: service => runMs.get(service) ?? 0,
   };
 }
 
+function average(known: number | undefined, value: number): number {
+  return known === undefined ? value : known + RUN_WEIGHT * (value - known);
+}
+
 function change(counts: Map<string, number>, key: string, by: number): void {
   const next = (counts.get(key) ?? 0) + by;
   if (next === 0) counts.delete(key);
--- a/src/actors/slots/borrower_record.ts
+++ b/src/actors/slots/borrower_record.ts
@@ -3,6 +3,8 @@
   readonly memberId: string;
   readonly sequence: number;
   readonly demand: number;
+  /** Slots that keep up with the demand without its peaks. */
+  readonly need: number;
   /** Most slots that the borrower may use, by host id. */
   readonly held: ReadonlyMap<string, number>;
   readonly used: ReadonlyMap<string, number>;
--- a/src/actors/slots/pool_slots.ts
+++ b/src/actors/slots/pool_slots.ts
@@ -1,4 +1,4 @@
-import {LendableHost, adjustLoan, shareFairly} from '../../decisions/slots';
+import {LendableHost, adjustLoan, shareByNeed} from '../../decisions/slots';
 import {splitStatically} from '../../decisions/requests';
 import {PoolDemand, PoolLoan} from '../../protocol';
 import {HostState, PoolHost} from '../../types';
@@ -125,17 +125,19 @@
     return (known?.host.slots ?? 0) - (countTaken().get(hostId) ?? 0);
   }
 
+  /** Returns what a borrower may hold now. */
   function targetOf(session: string, capacity: number): number {
     const now = performance.now();
     const live = [...borrowers].filter(([, record]) => now < record.endsAt);
-    const wanted = live.map(([, record]) => wantedBy(record.demand));
-    const shares = shareFairly(capacity, wanted);
-    return shares[live.findIndex(([known]) => known === session)] ?? 0;
+    const needs = live.map(([, {demand, need}]) => ({peak: demand, need}));
+    const shares = shareByNeed(capacity, needs, findHeadroom());
+    const index = live.findIndex(([known]) => known === session);
+    return shares[index];
   }
 
-  function wantedBy(demand: number): number {
-    const waits = performance.now() - reservationRefusedAt < LONG_WORK_WAITS_MS;
-    return demand + (waits ? 0 : HEADROOM_SLOTS);
+  function findHeadroom(): number {
+    const sinceMs = performance.now() - reservationRefusedAt;
+    return sinceMs < LONG_WORK_WAITS_MS ? 0 : HEADROOM_SLOTS;
   }
 
   function lendable(
@@ -169,6 +171,7 @@
       memberId,
       sequence,
       demand: demand.demand,
+      need: demand.need,
       held,
       used,
       endsAt: now + LOAN_MS + LOAN_MARGIN_MS,
--- a/src/actors/slots/slot_borrower.ts
+++ b/src/actors/slots/slot_borrower.ts
@@ -121,7 +121,7 @@
 
   /** States the slots that this member limits itself to until it is lent more. */
   function describe(pool: string): PoolDemand {
-    const {demand, used} = options.takeUsage(pool);
+    const {demand, need, used} = options.takeUsage(pool);
     if (demand > 0) active.add(pool);
     else active.delete(pool);
     const loans = getLoans(pool) ?? options.getSplit(pool);
@@ -132,7 +132,7 @@
       const limit = limits.get(hostId) ?? 0;
       return {hostId, held: Math.max(limit, running), used: running};
     });
-    return {pool, demand, hosts: hosts.filter(host => host.held > 0)};
+    return {pool, demand, need, hosts: hosts.filter(host => host.held > 0)};
   }
 
   function accept(loan: PoolLoan, startedAt: number): void {
--- a/src/decisions/requests/index.ts
+++ b/src/decisions/requests/index.ts
@@ -8,5 +8,6 @@
 export * from './share_everything';
 export * from './slot_policy';
 export * from './slot_policy_kind';
+export * from './slot_need';
 export * from './static_split';
 export * from './worker_candidate';
--- a/src/protocol/borrow.ts
+++ b/src/protocol/borrow.ts
@@ -15,6 +15,8 @@
   readonly pool: string;
   /** Most requests that waited or ran at once since the last report. */
   readonly demand: number;
+  /** Slots that keep up with the demand without its peaks. */
+  readonly need: number;
   readonly hosts: readonly HostSlots[];
 }
 
--- a/src/stand_ins/worker/memory_workers.ts
+++ b/src/stand_ins/worker/memory_workers.ts
@@ -39,6 +39,7 @@
       return Result.ok({
         status,
         headers: {'request-id': request.requestId},
+        whole: true,
         body: Readable.from([
           Buffer.from(
             JSON.stringify({requestId: request.requestId, worker: host.id}),
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -24,7 +24,7 @@
 import {AnyPeerHandler} from '../ports';
 import {borrowMethod, heartbeatMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
-import {Member} from '../types';
+import {Loan, Member} from '../types';
 import {Outside} from './outside';
 import {createPoolLeaders} from './pool_leaders';
 
@@ -38,6 +38,8 @@
   readonly waves: Waves;
   readonly jobs: JobCalls;
   readonly requests: Requests;
+  /** Returns the slots lent to this entry host; undefined without a loan. */
+  getLoans(pool: string): readonly Loan[] | undefined;
   /** What answers the calls of other members. */
   readonly handlers: readonly AnyPeerHandler[];
   /** True while new requests are welcome. */
@@ -172,6 +174,7 @@
       configuration: configuration.current,
     }),
     requests,
+    getLoans: borrower.getLoans,
     handlers: [
       {
         method: heartbeatMethod,
