Leave starved borrowers their part of the free slots

Cause: the entry host that reports first in each round found no free slot, since those returned later in the round went to whoever asked next; one entry host held 4 slots of a share of 9 for 900 ms of the paused-clock burst.

Change: a borrower takes of the free slots only its part by deficit.

--- a/src/actors/slots/pool_slots.ts
+++ b/src/actors/slots/pool_slots.ts
@@ -1,4 +1,9 @@
-import {LendableHost, adjustLoan, shareByNeed} from '../../decisions/slots';
+import {
+  LendableHost,
+  adjustLoan,
+  limitGrowth,
+  shareByNeed,
+} from '../../decisions/slots';
 import {splitStatically} from '../../decisions/requests';
 import {PoolDemand, PoolLoan} from '../../protocol';
 import {HostState, PoolHost} from '../../types';
@@ -125,14 +130,23 @@
     return (known?.host.slots ?? 0) - (countTaken().get(hostId) ?? 0);
   }
 
-  /** Returns what a borrower may hold now. */
-  function targetOf(session: string, capacity: number): number {
+  /** Returns what a borrower may hold now: its share, but of the free slots only its part. */
+  function targetOf(
+    session: string,
+    capacity: number,
+    hosts: readonly LendableHost[],
+  ): number {
     const now = performance.now();
     const live = [...borrowers].filter(([, record]) => now < record.endsAt);
     const needs = live.map(([, {demand, need}]) => ({peak: demand, need}));
     const shares = shareByNeed(capacity, needs, findHeadroom());
+    const deficits = live.map(([, record], i) =>
+      Math.max(0, shares[i] - countSlots(record.held)),
+    );
     const index = live.findIndex(([known]) => known === session);
-    return shares[index];
+    const free = hosts.reduce((sum, host) => sum + host.free, 0);
+    const held = hosts.reduce((sum, host) => sum + host.held, 0);
+    return Math.min(shares[index], held + limitGrowth(free, deficits, index));
   }
 
   function findHeadroom(): number {
@@ -180,7 +194,7 @@
     forgetEnded(now);
     const hosts = lendable(session, held, used);
     const capacity = countLendable();
-    const granted = adjustLoan(targetOf(session, capacity), hosts);
+    const granted = adjustLoan(targetOf(session, capacity, hosts), hosts);
     borrowers.set(session, {...record, held: largest(held, granted)});
     noteShortage(capacity);
     const total = [...granted.values()].reduce((sum, n) => sum + n, 0);
@@ -255,6 +269,12 @@
   };
 }
 
+function countSlots(held: ReadonlyMap<string, number>): number {
+  let sum = 0;
+  for (const slots of held.values()) sum += slots;
+  return sum;
+}
+
 function add(counts: Map<string, number>, hostId: string, slots: number): void {
   counts.set(hostId, (counts.get(hostId) ?? 0) + slots);
 }
