--- a/bench/requests/load.ts
+++ b/bench/requests/load.ts
@@ -14,9 +14,10 @@
   readonly deadlineMs: number;
   readonly startsAt: number;
   readonly endsAt: number;
+  /** Callers of the service; each keeps to one entry host. */
+  readonly callers?: number;
 }
 
-/** Callers of one service; each keeps its connection to one entry host. */
 const CALLERS = 16;
 const TICK_MS = 5;
 
@@ -26,9 +27,9 @@
   agent: Agent,
   random: () => number,
 ): Promise<readonly Attempt[]> {
-  const {callerUrls, perSecond} = stream;
+  const {callerUrls, perSecond, callers: count = CALLERS} = stream;
   const callers = Array.from(
-    {length: CALLERS},
+    {length: count},
     () => callerUrls[Math.floor(random() * callerUrls.length)],
   );
   const sent: Promise<Attempt>[] = [];
--- a/features/requests/support.ts
+++ b/features/requests/support.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import type {Answer, Refusal} from '../../src/actors/requests';
+import {delay} from '../../src/state';
 import {Outcome} from '../../src/types';
 import {MemorySite} from '../support/memory_site';
 import {advance, settle} from '../support/paused_clock';
@@ -33,7 +34,7 @@
   burst: Burst,
   onStep: () => void = () => {},
 ): Promise<readonly BurstAnswer[]> {
-  const sent: Promise<BurstAnswer>[] = [];
+  const sent: Promise<BurstAnswer | undefined>[] = [];
   for (let passed = 0; passed < burst.forMs; passed += STEP_MS) {
     while (sent.length < (passed / 1_000) * burst.perSecond) {
       sent.push(send(site, burst, sent.length));
@@ -41,18 +42,20 @@
     await advance(STEP_MS);
     onStep();
   }
-  return settle(Promise.all(sent));
+  const all = await settle(Promise.all(sent));
+  return all.filter(answer => answer !== undefined);
 }
 
+/** Sends one request; undefined if its entry host crashed before it answered. */
 async function send(
   site: MemorySite,
   burst: Burst,
   n: number,
-): Promise<BurstAnswer> {
+): Promise<BurstAnswer | undefined> {
   const entry = site.entries[burst.chooseEntry(n)];
   const id = `${burst.service}-${burst.team ?? ''}-${n}-${Math.random()}`;
   const sentAt = performance.now();
-  const result = await entry.core.requests.run({
+  const run = entry.core.requests.run({
     id,
     service: burst.service,
     team: burst.team ?? '',
@@ -63,6 +66,8 @@
     idempotent: burst.idempotent,
     deadlineMs: burst.deadlineMs,
   });
+  const result = await Promise.race([run, delay(2 * burst.deadlineMs)]);
+  if (!result) return undefined;
   if (result.isOk) for await (const chunk of result.value.body) void chunk;
   return {id, sentAt, endedAt: performance.now(), result};
 }
