--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,4 +1,5 @@
 import {Bench} from '../shared';
+import {probeClaims} from './claims';
 import {probeControl} from './control';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
@@ -6,6 +7,7 @@
 
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
+  claims: probeClaims,
   control: probeControl,
 };
 
--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -83,11 +83,12 @@
 
 function settingOptions(): Record<string, Options> {
   return Object.fromEntries(
-    SETTINGS.map(({flag, describe, defaultValue, repeatable}) => [
+    SETTINGS.map(({flag, describe, defaultValue, repeatable, hidden}) => [
       flag,
       {
         type: 'string',
         array: repeatable,
+        hidden,
         describe,
         defaultDescription: defaultValue?.toString(),
         requiresArg: true,
--- a/src/state/change_log.ts
+++ b/src/state/change_log.ts
@@ -28,6 +28,8 @@
   readonly sequence: number;
 }
 
+/** Characters of an epoch, which every relayed watch carries. */
+const EPOCH_LENGTH = 8;
 /** Changes kept for readers; older ones are compacted. */
 const KEPT_CHANGES = 2_000;
 
@@ -79,7 +81,7 @@
 
   return {
     prefix,
-    epoch: randomUUID(),
+    epoch: randomUUID().slice(0, EPOCH_LENGTH),
     getSequence: () => sequence,
     getRevision: () => revision,
     getContentRevision: () => contentRevision,
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,5 +1,9 @@
 import {start, stop} from 'nact';
-import {createClaimedRequests, createClaims} from '../actors/claims';
+import {
+  createClaimedRequests,
+  createClaims,
+  createSingleUseWorkers,
+} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
@@ -26,11 +30,18 @@
   createMembershipActor,
   createRelay,
 } from '../actors/membership';
-import {Requests, createRequests} from '../actors/requests';
-import {SlotPolicy, splitStatically} from '../decisions/requests';
+import {
+  Requests,
+  createPoolHostsCache,
+  createRequests,
+  createSlotSharing,
+} from '../actors/requests';
+import {createSlotBorrower, createSlotLenders} from '../actors/slots';
+import {SlotPolicyKind, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
+import {borrowMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
-import {Member} from '../types';
+import {Loan, Member} from '../types';
 import {Outside} from './outside';
 import {createPoolLeaders} from './pool_leaders';
 
@@ -47,6 +58,8 @@
   readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
+  /** Returns the slots lent to this entry host; undefined without a loan. */
+  getLoans(pool: string): readonly Loan[] | undefined;
   /** What answers the calls of other members. */
   readonly handlers: readonly AnyPeerHandler[];
   /** True while new requests are welcome. */
@@ -64,17 +77,24 @@
   readonly self: Member;
   readonly outside: Outside;
   readonly telemetry: Telemetry;
-  /** Decides which slots this entry host may use. */
-  readonly slotPolicy?: SlotPolicy;
+  /** Way of sharing slots; lending by default. */
+  readonly slotPolicy?: SlotPolicyKind;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
   /** Members to ask while the store can't tell any. */
   readonly seeds?: readonly Member[];
   /** Time that a claim of an idempotency key is kept at least, in ms. */
   readonly claimRetentionMs?: number;
 }
 
+/** Least wait for the first byte of an idempotent request's answer. */
+export const DEFAULT_SILENCE_MS = 1_000;
+
 /** Wires an entry host's actors. */
 export function createCore(options: CoreOptions): Core {
-  const {self, outside, telemetry, slotPolicy = splitStatically} = options;
+  const {self, outside, telemetry} = options;
+  const {slotPolicy = SlotPolicyKind.Lending} = options;
+  const {silenceMs = DEFAULT_SILENCE_MS} = options;
   const {hostList, workers, peers} = outside;
   const seeds = options.seeds ?? [];
   const system = start();
@@ -119,7 +139,15 @@
     configuration: configuration.current,
   });
   relay.start();
+  const getMemberIds = () => getMembers().map(member => member.id);
+  const lenders = createSlotLenders({
+    memberId: self.id,
+    getMemberIds,
+    getLeaders: leadership.getLeaders,
+    isLeased: () => membership.getLease() !== undefined,
+  });
   const leaders = createPoolLeaders({
+    lenders,
     system,
     outside: {...outside, store},
     telemetry,
@@ -136,15 +164,38 @@
     getMembers: membership.members.get,
     retentionMs: options.claimRetentionMs,
   });
+  const poolHosts = createPoolHostsCache(view);
+  const borrower = createSlotBorrower({
+    self,
+    peers,
+    getMembers,
+    getLeaders: leadership.getLeaders,
+    lend: lenders.lend,
+    getPools: () => listPools(configuration),
+    takeUsage: pool => routed.takeUsage(pool),
+    getSplit: pool =>
+      splitStatically({
+        hosts: poolHosts.get(pool),
+        memberIds: getMemberIds(),
+        memberId: self.id,
+      }),
+    onChange: pool => routed.review(pool),
+  });
   const routed = createRequests({
     system,
-    workers,
+    workers: createSingleUseWorkers(workers),
     telemetry,
     configuration: configuration.current,
-    getPoolHosts: view.getPoolHosts,
-    getMemberIds: () => getMembers().map(member => member.id),
-    memberId: self.id,
-    slotPolicy,
+    getPoolHosts: poolHosts.get,
+    availabilityZone: self.availabilityZone,
+    silenceMs,
+    sharing: createSlotSharing({
+      kind: slotPolicy,
+      memberId: self.id,
+      getHosts: poolHosts.get,
+      getMembers,
+      borrower,
+    }),
   });
   const requests = createClaimedRequests({
     requests: routed,
@@ -154,7 +205,10 @@
   });
 
   function dispose(): void {
+    borrower.dispose();
+    poolHosts.dispose();
     leaders.dispose();
+    lenders.dispose();
     leadership.dispose();
     heartbeats.dispose();
     membership.dispose();
@@ -181,7 +235,7 @@
     }),
     leadership,
     view,
-    waves: createWaves(store, view, getProfiles),
+    waves: createWaves({store, view, telemetry, getProfiles}),
     hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
@@ -190,12 +244,14 @@
       getPoolHosts: view.getPoolHosts,
     }),
     requests,
+    getLoans: borrower.getLoans,
     handlers: [
       heartbeats.handler,
       relay.handler,
       ...configuration.handlers,
       createExplainHandler(telemetry),
       ...claims.handlers,
+      {method: borrowMethod, handle: async report => lenders.lend(report)},
     ],
     isReady: () =>
       !stopping &&
@@ -216,3 +272,8 @@
     dispose,
   };
 }
+
+function listPools(configuration: ConfigurationActor): readonly string[] {
+  const profiles = configuration.current.get()?.profiles ?? [];
+  return [...new Set(profiles.map(profile => profile.pool))];
+}
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,8 +1,10 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createHostRoutes,
   createJobReleaseRoutes,
   createOperatorsHandle,
+  createPageRoutes,
   createProfileRoutes,
   createStatusRoutes,
   createWaveRoutes,
@@ -80,6 +82,8 @@
     self: member,
     outside,
     telemetry,
+    slotPolicy: settings.slotPolicy,
+    silenceMs: settings.silenceMs,
     seeds: (settings.seeds ?? []).map(readSeed),
   });
   peerServer.serve(core.handlers);
@@ -89,6 +93,8 @@
       [
         ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
+        ...createHostRoutes(core.hosts),
+        ...createPageRoutes({...core, telemetry}),
         ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -1,8 +1,12 @@
 import {ActorSystemRef} from 'nact';
 import {ConfigurationActor} from '../actors/configuration';
-import {FleetView, createPoolFleetActor} from '../actors/fleet';
+import {
+  FleetView,
+  createPoolFleetActor,
+  findHostsInLine,
+} from '../actors/fleet';
 import {Caretaker, createPoolJobsActor} from '../actors/jobs';
-import {createPoolSlots} from '../actors/slots';
+import {SlotLenders} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
 import {Outside} from './outside';
@@ -20,6 +24,7 @@
   readonly view: FleetView;
   readonly configuration: ConfigurationActor;
   readonly leadership: LeadershipActor;
+  readonly lenders: SlotLenders;
 }
 
 interface Led {
@@ -59,27 +64,27 @@
       getConfiguration: configuration.current.get,
     });
     const getHosts = () => view.getPoolHosts(pool);
-    const slots = createPoolSlots(getHosts);
+    const slots = options.lenders.open(pool, term, getHosts);
     const jobs = createPoolJobsActor({
       ...shared,
       getHosts,
       slots,
       getProfile,
+      getNextDrains: () => {
+        const profile = getProfile();
+        return new Set(profile ? findHostsInLine(view, profile) : []);
+      },
       onSuspect: (hostId, cause) => void fleet.quarantine(hostId, cause),
     });
-    const disposeOthers = () => {
-      fleet.dispose();
-      slots.dispose();
-    };
     return {
       term,
       dispose() {
         jobs.dispose();
-        disposeOthers();
+        fleet.dispose();
       },
       resign() {
         const caretaker = jobs.resign();
-        disposeOthers();
+        fleet.dispose();
         return caretaker;
       },
     };
