Give up a connection between members after two silent calls

Cause: a connection that a middlebox forgot was found by keep-alive pings only, and a planned stop could wait for ever, since the server's graceful shutdown never ended with such a connection (seen in a trial: forceShutdown does not call back).

--- a/src/adapters/peer/grpc_peer_server.ts
+++ b/src/adapters/peer/grpc_peer_server.ts
@@ -43,7 +43,11 @@
     },
     dispose: () =>
       new Promise(resolve => {
-        const timer = setTimeout(() => server.forceShutdown(), STOP_LIMIT_MS);
+        // A silent connection would keep the server from ever being stopped.
+        const timer = setTimeout(() => {
+          server.forceShutdown();
+          resolve();
+        }, STOP_LIMIT_MS);
         server.tryShutdown(() => {
           clearTimeout(timer);
           resolve();
--- a/src/adapters/peer/grpc_peers.ts
+++ b/src/adapters/peer/grpc_peers.ts
@@ -13,6 +13,15 @@
 const KEEPALIVE_TIMEOUT_MS = 1_000;
 const RECONNECT_MIN_MS = 100;
 const RECONNECT_MAX_MS = 1_000;
+/** Calls in a row without an answer after which a connection is given up. */
+const MAX_SILENT_CALLS = 2;
+
+/** A connection to one member. */
+interface Connection {
+  readonly client: Client;
+  /** Calls without an answer since the last one that had one. */
+  silentCalls: number;
+}
 
 /**
  * Creates calls to other members over gRPC.
@@ -22,33 +31,52 @@
 export function createGrpcPeers(
   channelCredentials: ChannelCredentials = credentials.createInsecure(),
 ): Peers {
-  const clients = new Map<string, Client>();
+  const connections = new Map<string, Connection>();
 
-  function connect(member: Member): Client {
+  function connect(member: Member): Connection {
     const target = targetOf(member);
-    const known = clients.get(target);
+    const known = connections.get(target);
     if (known) return known;
     const client = new Client(target, channelCredentials, {
       'grpc.keepalive_time_ms': KEEPALIVE_MS,
       'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
       'grpc.initial_reconnect_backoff_ms': RECONNECT_MIN_MS,
       'grpc.max_reconnect_backoff_ms': RECONNECT_MAX_MS,
+      'grpc.use_local_subchannel_pool': 1,
     });
-    clients.set(target, client);
-    return client;
+    const connection = {client, silentCalls: 0};
+    connections.set(target, connection);
+    return connection;
+  }
+
+  /** Gives up a connection that may be known at this end only; the next call opens a new one. */
+  function noteAnswer(
+    member: Member,
+    connection: Connection,
+    failure: PeerFailure | undefined,
+  ): void {
+    const silent = failure === PeerFailure.TimedOut;
+    connection.silentCalls = silent ? connection.silentCalls + 1 : 0;
+    if (connection.silentCalls < MAX_SILENT_CALLS) return;
+    const target = targetOf(member);
+    if (connections.get(target) === connection) connections.delete(target);
+    connection.client.close();
   }
 
   return {
     call: (member, method, request, timeoutMs) =>
       new Promise(resolve => {
-        connect(member).makeUnaryRequest(
+        const connection = connect(member);
+        connection.client.makeUnaryRequest(
           method.path,
           method.requestSerialize,
           method.responseDeserialize,
           request,
           {deadline: Date.now() + timeoutMs},
           (error, reply) => {
-            if (error) return resolve(Result.err(classify(error)));
+            const failure = error ? classify(error) : undefined;
+            noteAnswer(member, connection, failure);
+            if (failure) return resolve(Result.err(failure));
             if (reply === undefined) {
               return resolve(Result.err(PeerFailure.Rejected));
             }
@@ -58,15 +86,15 @@
       }),
     retain(members) {
       const kept = new Set(members.map(targetOf));
-      for (const [target, client] of clients) {
+      for (const [target, {client}] of connections) {
         if (kept.has(target)) continue;
         client.close();
-        clients.delete(target);
+        connections.delete(target);
       }
     },
     dispose() {
-      for (const client of clients.values()) client.close();
-      clients.clear();
+      for (const {client} of connections.values()) client.close();
+      connections.clear();
     },
   };
 }
