--- a/bench/shared/process_site.ts
+++ b/bench/shared/process_site.ts
@@ -41,7 +41,7 @@
 export interface ProcessSiteOptions {
   readonly siteName?: string;
   readonly entries: number;
-  /** First of the ports that are used, on 127.0.0.1. */
+  /** First of the ports that are used; each entry host has its own loopback address. */
   readonly firstPort: number;
   readonly profiles?: readonly Profile[];
   /** Further arguments of each "run" process. */
@@ -62,7 +62,7 @@
   const {firstPort} = options;
   const platformUrl = `http://${ADDRESS}:${firstPort}`;
   const entryPort = firstPort + 1;
-  const workerPort = entryPort + options.entries * PORTS_PER_ENTRY;
+  const workerPort = entryPort + PORTS_PER_ENTRY;
 
   const platform = startChild([
     ...['stand-in', 'platform', '--port', String(firstPort)],
@@ -80,7 +80,7 @@
     return listed.length === hosts.length;
   });
   const entries = Array.from({length: options.entries}, (_, i) =>
-    startEntry(i, entryPort + i * PORTS_PER_ENTRY, platformUrl, site, options),
+    startEntry(i, entryPort, platformUrl, site, options),
   );
   for (const entry of entries) {
     await waitFor(() => isAnswering(`${entry.operatorUrl}/healthz`));
@@ -140,9 +140,10 @@
   options: ProcessSiteOptions,
 ): EntryProcess {
   const id = `entry-${index + 1}`;
+  const address = `127.0.0.${index + 1}`;
   const zones = site.availabilityZones;
   const args = [
-    ...['run', '--member-id', id, '--address', ADDRESS],
+    ...['run', '--member-id', id, '--address', address],
     ...['--availability-zone', zones[index % zones.length]],
     ...['--caller-port', String(port)],
     ...['--operator-port', String(port + 1)],
@@ -153,8 +154,8 @@
   ];
   const entry: EntryProcess = {
     id,
-    callerUrl: `http://${ADDRESS}:${port}`,
-    operatorUrl: `http://${ADDRESS}:${port + 1}`,
+    callerUrl: `http://${address}:${port}`,
+    operatorUrl: `http://${address}:${port + 1}`,
     child: startChild(args),
     async restart() {
       entry.child = startChild(args);
