Replace the store's connections when one goes silent

Cause: connections can go silent for good while new ones work; each of up to 16 pooled connections cost one call its time limit, and a watch on one stayed silent for its 20 s. An answer 500 or 502 of something between was read as a refusal without effect, though the write may have taken effect.

Change: one timeout opens fresh connections for all later calls and ends what is left on the old ones after the same time; only 503 and 4xx prove that a call took no effect.

--- /dev/null
+++ b/features/http/store_connections.steps.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {request} from 'undici';
+import {createHttpStore} from '../../src/adapters/store';
+import {Store, StoreFailure} from '../../src/ports';
+import {createPlatformServer} from '../../src/stand_ins/platform';
+
+const ADDRESS = '127.0.0.1';
+const TIMEOUT_MS = 1_000;
+
+let store: Store;
+let url: string;
+let disposals: (() => unknown)[] = [];
+
+After(async () => {
+  for (const dispose of disposals) await dispose();
+  disposals = [];
+});
+
+Given(
+  'a key-value service with {int} open connections of one client',
+  async (connections: number) => {
+    const platform = await createPlatformServer(ADDRESS, 0);
+    connect(platform.port);
+    disposals.push(() => platform.dispose());
+    await readAtOnce(connections);
+  },
+);
+
+When('its open connections go silent', async () => {
+  const body = JSON.stringify({silentConnections: true});
+  const response = await request(`${url}/faults`, {method: 'POST', body});
+  await response.body.dump();
+});
+
+Then(
+  'one call to the key-value service is lost and {int} calls after it are answered',
+  async (calls: number) => {
+    const [first] = await readAtOnce(1);
+    assert.equal(first.isErr && first.error, StoreFailure.AnswerLost);
+    const later = await readAtOnce(calls);
+    assert.ok(later.every(({isOk}) => isOk));
+  },
+);
+
+Given(
+  'a key-value service that answers every call with {int}',
+  async (status: number) => {
+    const server = createServer((_, response) => {
+      response.writeHead(status).end('{}');
+    });
+    await new Promise<void>(done => server.listen(0, ADDRESS, done));
+    connect((server.address() as AddressInfo).port);
+    disposals.push(() => server.close());
+  },
+);
+
+Then('a swap there fails with {string}', async (failure: string) => {
+  const answer = await store.swap({key: 'a', expectedVersion: 0, value: 'b'});
+  assert.equal(answer.isErr && answer.error, failure);
+});
+
+function connect(port: number): void {
+  url = `http://${ADDRESS}:${port}`;
+  store = createHttpStore({urls: [url], timeoutMs: TIMEOUT_MS});
+  disposals.push(() => store.dispose());
+}
+
+function readAtOnce(calls: number) {
+  return Promise.all(Array.from({length: calls}, () => store.get('a')));
+}
--- a/src/adapters/store/http_store.ts
+++ b/src/adapters/store/http_store.ts
@@ -18,6 +18,8 @@
 }
 
 const CONNECTIONS = 16;
+/** Time after which an idle connection is closed, in ms. */
+const IDLE_MS = 5_000;
 const UNREACHABLE_CODES: readonly string[] = [
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -32,23 +34,32 @@
  * @returns the store, which its owner disposes
  */
 export function createHttpStore(options: HttpStoreOptions): Store {
-  const agent = new Agent({
-    connections: CONNECTIONS,
-    connectTimeout: options.timeoutMs,
-    keepAliveTimeout: 5_000,
-  });
+  let agent = createAgent(options.timeoutMs);
   let current = 0;
 
+  /**
+   * Opens fresh connections for later calls, as a silent one is seldom alone.
+   *
+   * Open calls have their own time limit; watches wait longer and are ended.
+   */
+  function replaceConnections(suspect: Agent): void {
+    if (suspect !== agent) return;
+    agent = createAgent(options.timeoutMs);
+    const timer = setTimeout(() => void suspect.destroy(), options.timeoutMs);
+    timer.unref?.();
+  }
+
   async function call<T>(
     path: string,
     body: object,
     waitMs = 0,
   ): Promise<Result<T, StoreFailure>> {
     const url = options.urls[current % options.urls.length];
+    const used = agent;
     try {
       const response = await request(`${url}${path}`, {
         method: 'POST',
-        dispatcher: agent,
+        dispatcher: used,
         body: JSON.stringify(body),
         headers: {'content-type': 'application/json'},
         signal: AbortSignal.timeout(options.timeoutMs + waitMs),
@@ -58,12 +69,10 @@
       const answer = (await response.body.json()) as {value: T};
       if (response.statusCode === 200) return Result.ok(answer.value);
       current += 1;
-      const refused = response.statusCode === 503;
-      return Result.err(
-        refused ? StoreFailure.Unreachable : StoreFailure.Rejected,
-      );
+      return Result.err(classifyStatus(response.statusCode));
     } catch (error) {
       current += 1;
+      if ((error as Error).name === 'TimeoutError') replaceConnections(used);
       return Result.err(classify(error));
     }
   }
@@ -81,6 +90,20 @@
   };
 }
 
+function createAgent(connectTimeout: number): Agent {
+  return new Agent({
+    connections: CONNECTIONS,
+    connectTimeout,
+    keepAliveTimeout: IDLE_MS,
+  });
+}
+
+/** Only a refusal of the service itself proves that a call took no effect. */
+function classifyStatus(status: number): StoreFailure {
+  if (status === 503) return StoreFailure.Unreachable;
+  return status < 500 ? StoreFailure.Rejected : StoreFailure.AnswerLost;
+}
+
 function classify(error: unknown): StoreFailure {
   const code = (error as {code?: string}).code ?? '';
   return UNREACHABLE_CODES.includes(code)
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -1,5 +1,5 @@
 import {IncomingMessage, ServerResponse, createServer} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {Store, StoreFailure, Swap} from '../../ports';
 import {readJson, sendJson} from '../../http/shared';
 import {Host} from '../../types';
@@ -52,11 +52,21 @@
     calls[kind] += 1;
   });
   const hosts = new Map<string, Host>();
+  const sockets = new Set<Socket>();
+  const silent = new WeakSet<Socket>();
+
+  function silenceConnections(except: Socket): void {
+    for (const socket of sockets) {
+      if (socket !== except) silent.add(socket);
+    }
+    faults.silentConnections = false;
+  }
 
   async function route(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (silent.has(request.socket)) return;
     const path = request.url ?? '/';
     if (path === '/hosts' && request.method === 'GET') {
       return sendJson(response, 200, [...hosts.values()]);
@@ -69,6 +79,7 @@
     }
     if (path === '/faults') {
       Object.assign(faults, body);
+      if (faults.silentConnections) silenceConnections(request.socket);
       return sendJson(response, 200, faults);
     }
     if (path === '/calls') return sendJson(response, 200, calls);
@@ -93,6 +104,10 @@
       else sendJson(response, 400, {error: error.message});
     });
   });
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
   await new Promise<void>(resolve => server.listen(port, address, resolve));
 
   return {
@@ -115,7 +130,7 @@
   response: ServerResponse,
 ): Promise<void> {
   const answer = await makeStoreCall(store, path, call);
-  if (!answer) return sendJson(response, 404, {error: `no call ${path}`});
+  if (!answer) return sendJson(response, 404, {error: `bad call ${path}`});
   if (answer.isOk) return sendJson(response, 200, {value: answer.value});
   if (answer.error === StoreFailure.Unreachable) {
     return sendJson(response, 503, {error: answer.error});
@@ -126,7 +141,10 @@
 function makeStoreCall(store: Store, path: string, call: StoreCall) {
   if (path === '/kv/get') return store.get(call.key ?? '');
   if (path === '/kv/list') return store.list(call.prefix ?? '');
-  if (path === '/kv/swap' && call.swap) return store.swap(call.swap);
+  if (path === '/kv/swap' && call.swap) {
+    const length = Buffer.byteLength(call.swap.value ?? '');
+    return length > MAX_VALUE_BYTES ? undefined : store.swap(call.swap);
+  }
   if (path === '/kv/watch') {
     return store.watch(call.prefix ?? '', call.after ?? 0, call.waitMs ?? 0);
   }
--- a/src/stand_ins/platform/store_faults.ts
+++ b/src/stand_ins/platform/store_faults.ts
@@ -8,9 +8,17 @@
   lostAnswers: number;
   /** Calls that hang without an answer or an effect. */
   silent: boolean;
+  /** Connections open now stay open and go silent; new ones work. */
+  silentConnections: boolean;
 }
 
 /** Creates faults that are all off. */
 export function createStoreFaults(): StoreFaults {
-  return {down: false, slowMs: 0, lostAnswers: 0, silent: false};
+  return {
+    down: false,
+    slowMs: 0,
+    lostAnswers: 0,
+    silent: false,
+    silentConnections: false,
+  };
 }
