--- a/bench/requests/planned_stop.ts
+++ b/bench/requests/planned_stop.ts
@@ -19,6 +19,8 @@
 const PAUSE_MS = 20;
 const READY_POLL_MS = 100;
 const SETTLE_MS = 300;
+/** Time under traffic before the first stop, in ms. */
+const WARM_UP_MS = 3_000;
 
 /** Follows the readiness of entry hosts as the platform's balancer does. */
 interface Balancer {
@@ -42,6 +44,7 @@
   let answered = 0;
   let cut = 0;
   let refused = 0;
+  let step = 'starting';
 
   async function call(index: number): Promise<void> {
     const entry = balancer.next();
@@ -55,7 +58,9 @@
       if (response.statusCode === 200) JSON.parse(text);
       if (response.statusCode === 200) answered += 1;
       else refused += 1;
-      if (response.statusCode !== 200) progress(text);
+      if (response.statusCode !== 200) {
+        progress(`refused at ${entry.id} while ${step}: ${text}`);
+      }
     } catch (error) {
       cut += 1;
       progress(`cut at ${entry.id}: ${(error as Error).message}`);
@@ -71,13 +76,16 @@
   const replaced = site.entries.slice(0, quick ? QUICK_ENTRIES : ENTRIES);
   let failedExits = 0;
   let longestMs = 0;
-  await delay(SETTLE_MS);
+  await delay(WARM_UP_MS);
   for (const entry of replaced) {
+    step = `${entry.id} stops`;
     const startedAt = performance.now();
     const code = await entry.child.end('SIGTERM');
     longestMs = Math.max(longestMs, performance.now() - startedAt);
     if (code !== 0) failedExits += 1;
+    step = `${entry.id} starts again`;
     await entry.restart();
+    step = `${entry.id} is ready again`;
     await delay(SETTLE_MS);
   }
   abort.abort();
