--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,10 +1,13 @@
 import {Bench} from '../shared';
+import {probeJobs} from './jobs';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
 export * from './slope';
 
 /** Probes by area; each measures its own roles and decisions. */
-const PROBES: Readonly<Record<string, ScaleProbe>> = {};
+const PROBES: Readonly<Record<string, ScaleProbe>> = {
+  jobs: probeJobs,
+};
 
 /** Measures how each role's costs grow, and fits a line to each. */
 export const runScaleBench: Bench = async ({seed, quick, progress}) => {
--- a/features/jobs/job_pool.ts
+++ b/features/jobs/job_pool.ts
@@ -9,7 +9,7 @@
 } from '../../src/actors/jobs';
 import {PoolSlots, createPoolSlots} from '../../src/actors/slots';
 import {JobHistory, toJobRun} from '../../src/history/jobs';
-import {Store} from '../../src/ports';
+import {Store, Workers} from '../../src/ports';
 import {
   CallKind,
   createKeyValue,
@@ -45,6 +45,12 @@
   resign(): void;
 }
 
+/** What may differ from leader to leader. */
+export interface LeaderOptions extends Partial<PoolJobsOptions> {
+  /** Put around the calls to workers. */
+  readonly wrapWorkers?: (workers: Workers) => Workers;
+}
+
 /** One pool's jobs with their store, workers and leaders, in memory. */
 export interface JobPool {
   readonly calls: JobCalls;
@@ -58,7 +64,7 @@
   /** Writes to the store so far. */
   countWrites(): number;
   /** Starts one more leader under the next term; earlier ones go on. */
-  addLeader(options?: Partial<PoolJobsOptions>): JobLeader;
+  addLeader(options?: LeaderOptions): JobLeader;
   readJobs(): readonly Job[];
   readHistory(accepted: JobHistory['accepted']): JobHistory;
   dispose(): void;
@@ -115,7 +121,7 @@
       state: states.get(host.id) ?? HostState.Active,
     }));
 
-  function addLeader(extra: Partial<PoolJobsOptions> = {}): JobLeader {
+  function addLeader(extra: LeaderOptions = {}): JobLeader {
     const term = leaders.length + 1;
     const gate = createGate();
     const slots = extra.slots ?? createPoolSlots(getHosts);
@@ -123,7 +129,9 @@
     const jobs = createPoolJobsActor({
       system,
       store: gateStore(store, gate),
-      workers: gateWorkers(workers, gate),
+      workers: (extra.wrapWorkers ?? (inner => inner))(
+        gateWorkers(workers, gate),
+      ),
       telemetry: own,
       pool: POOL,
       term,
--- a/src/actors/jobs/host_poller.ts
+++ b/src/actors/jobs/host_poller.ts
@@ -12,12 +12,13 @@
   hurry(hostId: string): void;
 }
 
-const IDLE_POLL_MS = 2_000;
-const MAX_POLL_MS = 2_000;
+const MAX_POLL_MS = 3_000;
 const MIN_POLL_MS = 100;
 const SILENT_POLL_MS = 1_000;
-/** Poll time of a task whose end can't be foreseen yet. */
+/** Shortest poll time of a task whose end can't be foreseen yet. */
 const EARLY_POLL_MS = 400;
+/** Share of its estimate after which an unforeseeable task is looked at. */
+const EARLY_SHARE = 0.1;
 const FORESEEABLE_PROGRESS = 0.05;
 const RENEW_MS = TASK_LEASE_MS / 4;
 
@@ -109,7 +110,7 @@
   }
 
   function chooseInterval(report: WorkerReport): number {
-    let interval = report.tasks.length > 0 ? MAX_POLL_MS : IDLE_POLL_MS;
+    let interval = MAX_POLL_MS;
     for (const task of report.tasks) {
       if (task.state !== TaskState.Running) continue;
       interval = Math.min(interval, timeToEnd(task.jobId, task.progress));
@@ -118,10 +119,13 @@
   }
 
   function timeToEnd(jobId: string, progress: number): number {
-    if (progress < FORESEEABLE_PROGRESS) return EARLY_POLL_MS;
-    const entry = mirror.entries.get().get(`jobs/${pool}/${jobId}`);
-    const attempt = entry?.value.attempts.at(-1);
-    if (!entry || !attempt || entry.value.checkpoint) return EARLY_POLL_MS;
+    const job = mirror.entries.get().get(`jobs/${pool}/${jobId}`)?.value;
+    const attempt = job?.attempts.at(-1);
+    if (!job || !attempt) return EARLY_POLL_MS;
+    if (progress < FORESEEABLE_PROGRESS || job.checkpoint !== undefined) {
+      const {runTimeMs} = context.estimates.estimate(job);
+      return Math.max(EARLY_POLL_MS, runTimeMs * EARLY_SHARE);
+    }
     const ran = Date.now() - attempt.startedAt;
     return (ran * (1 - progress)) / progress;
   }
