--- a/bench/long_work/fault_script.ts
+++ b/bench/long_work/fault_script.ts
@@ -1,12 +1,14 @@
 import {delay} from '../../src/state';
 import {Host} from '../../src/types';
-import {ProcessSite} from '../shared';
+import {ProcessSite, callJson} from '../shared';
 
 /** Longer than a task's lease, in ms. */
 const PAUSE_MS = 14_000;
 const STEP_MS = 2_000;
-const WORKER_DOWN_MS = 5_000;
-const KEEP_OPEN_MS = 1_000;
+const BAD_WORKER_MS = 4_000;
+const BAD_WORKERS = 4;
+const TRIES = 20;
+const RETRY_MS = 500;
 
 /** Kills and pauses entry hosts, one after another; workers and store stay well. */
 export async function disturbLeaders(site: ProcessSite): Promise<void> {
@@ -26,30 +28,38 @@
 /** Causes every fault at once: entries, store and workers. */
 export async function disturbEverything(site: ProcessSite): Promise<void> {
   await site.setStoreFaults({lostAnswers: 0.05, slowMs: 5});
-  const workers = disturbWorkers(site);
-  await disturbLeaders(site);
-  await workers;
+  await Promise.all([disturbWorkers(site), disturbLeaders(site)]);
   await site.setStoreFaults({lostAnswers: 0, slowMs: 0});
 }
 
+/** Lets workers crash and lose everything, go silent, and fail what they start. */
 async function disturbWorkers(site: ProcessSite): Promise<void> {
-  for (let i = 0; i < 4; i += 1) {
-    const crashed = site.hosts[(i * 7) % site.hosts.length];
-    const silent = site.hosts[(i * 11 + 3) % site.hosts.length];
-    const failing = site.hosts[(i * 5 + 1) % site.hosts.length];
-    await site.setWorkerFaults(crashed, {crashed: true});
-    await site.setWorkerFaults(silent, {silentConnections: true});
-    await site.setWorkerFaults(failing, {failAll: true});
-    await wait(site, crashed);
-    await site.setWorkerFaults(crashed, {crashed: false});
-    await site.setWorkerFaults(failing, {failAll: false});
+  const {hosts} = site;
+  for (let i = 0; i < BAD_WORKERS; i += 1) {
+    const crashing = hosts[(i * 7) % hosts.length];
+    const silent = hosts[(i * 11 + 3) % hosts.length];
+    const failing = hosts[(i * 5 + 1) % hosts.length];
+    await insist(() => crash(crashing));
+    await insist(() => site.setWorkerFaults(silent, {silentConnections: true}));
+    await insist(() => site.setWorkerFaults(failing, {failAll: true}));
+    await delay(BAD_WORKER_MS);
+    await insist(() => site.setWorkerFaults(failing, {failAll: false}));
   }
 }
 
-/** Waits while a worker is down; a crashed one can be reached only over an open connection. */
-async function wait(site: ProcessSite, host: Host): Promise<void> {
-  for (let waited = 0; waited < WORKER_DOWN_MS; waited += KEEP_OPEN_MS) {
-    await delay(KEEP_OPEN_MS);
-    await site.setWorkerFaults(host, {});
+async function crash(host: Host): Promise<void> {
+  await callJson('POST', `http://${host.address}:${host.port}/reboot`, {});
+}
+
+/** Repeats a call that a broken connection may cut. */
+async function insist(call: () => Promise<unknown>): Promise<void> {
+  for (let i = 0; i < TRIES; i += 1) {
+    try {
+      await call();
+      return;
+    } catch {
+      await delay(RETRY_MS);
+    }
   }
+  throw new Error('a fault could not be caused');
 }
--- a/bench/long_work/index.ts
+++ b/bench/long_work/index.ts
@@ -15,6 +15,7 @@
 const JOBS = 1_000;
 const QUICK_JOBS = 300;
 const SUBMITTERS = 16;
+const REBOOT_MS = 4_000;
 const SLOTS = 64;
 const SETTLE_MS = 120_000;
 const TRACE_JOBS = 1_000;
@@ -28,6 +29,7 @@
   const site = await createProcessSite({
     entries: ENTRIES,
     firstPort: FIRST_PORT,
+    rebootMs: REBOOT_MS,
   });
   const services = site.site.pools.map(({name}) => name);
   const draft = (phase: string, count: number, single: boolean): JobDraft[] =>
--- a/bench/long_work/job_phase.ts
+++ b/bench/long_work/job_phase.ts
@@ -42,9 +42,8 @@
       accepted.push({id, idempotent});
     }
   };
-  const disturbed = disturb?.();
-  await Promise.all(Array.from({length: submitters}, lane));
-  await disturbed;
+  const lanes = Array.from({length: submitters}, lane);
+  await Promise.all([...lanes, disturb?.()]);
   const ids = new Set(accepted.map(({id}) => id));
   const records = await settle(site, ids, settleMs);
   const after = await site.readStoreCalls();
--- a/features/claims/faulty_site.ts
+++ b/features/claims/faulty_site.ts
@@ -68,7 +68,11 @@
       const content = `content-${step.key}`;
       const idempotencyKey = `key-${step.key}`;
       const {entry} = step;
-      void recorder.send({entry, idempotencyKey, content, workMs: 40});
+      const sent = {entry, idempotencyKey, content, workMs: 40};
+      recorder.send(sent).catch((error: Error) => {
+        // A crashed entry host answers no caller.
+        if (!crashed.has(entry)) throw error;
+      });
     }
     await advance(STEP_MS);
   }
--- a/features/fleet/waves.steps.ts
+++ b/features/fleet/waves.steps.ts
@@ -21,7 +21,10 @@
 
 const STEP_MS = 200;
 const FIRST_DRAINS_MS = 5_000;
-const TASK_LEASE_MS = 1_000_000;
+const LONG_TASK_MS = 900_000;
+const START_LIMIT_MS = 10_000;
+/** More than half of a worker's slots, so that two don't fit. */
+const ONE_PER_HOST = {slots: 5, processors: 5, memoryMb: 1, accelerators: 0};
 
 let waves: Wave[] = [];
 let plan: WavePlan;
@@ -36,21 +39,32 @@
   },
 );
 
-Given('every host of {string} is busy with a long task', (pool: string) => {
-  for (const worker of listWorkers(pool)) {
-    const started = worker.startTask({
-      jobId: `job-on-${worker.host.id}`,
-      pool,
-      attempt: 1,
-      term: 1,
-      leaseMs: TASK_LEASE_MS,
-      size: {slots: 2, processors: 1, memoryMb: 1, accelerators: 0},
-      input: 'work-ms=900000',
-      idempotent: true,
-    });
-    assert.ok(started.isOk);
-  }
-});
+Given(
+  'every host of {string} is busy with a long task',
+  async (pool: string) => {
+    const workers = listWorkers(pool);
+    const {jobs} = getFleet().site.entries[0].core;
+    for (const worker of workers) {
+      const submitted = await settle(
+        jobs.submit({
+          service: pool,
+          team: '',
+          idempotencyKey: `job-for-${worker.host.id}`,
+          idempotent: true,
+          size: ONE_PER_HOST,
+          runTimeMs: LONG_TASK_MS,
+          dueAt: Date.now() + 2 * LONG_TASK_MS,
+          input: `work-ms=${LONG_TASK_MS}`,
+        }),
+      );
+      assert.ok(submitted.isOk);
+    }
+    await advanceUntil(
+      () => workers.every(worker => worker.report().slotsUsed > 0),
+      START_LIMIT_MS,
+    );
+  },
+);
 
 async function declare(
   entry: number,
--- a/src/actors/jobs/placer.ts
+++ b/src/actors/jobs/placer.ts
@@ -52,18 +52,45 @@
     }
     if (entries.size === 0) return;
     const waiting = [...entries.values()].map(({value}) => value);
-    const placements = plan(waiting);
+    const placeable = countPlaceableNow();
+    const placements = plan(waiting, placeable);
+    const placed = new Set(placements.map(({job}) => job.id));
+    const left = waiting.find(({id}) => !placed.has(id));
+    if (left && placeable > 0 && placements.length < ROUND_LIMIT) ask(left);
     await runBounded(placements, AT_ONCE, async placement => {
       const entry = entries.get(placement.job.id);
       if (entry) await begin(entry, placement);
     });
   }
 
-  function plan(waiting: readonly Job[]): readonly Placement[] {
-    const hosts = context.getHosts();
-    const totalSlots = hosts.reduce((sum, {host}) => sum + host.slots, 0);
-    const profile = context.getProfile();
-    const kept = Math.floor((profile?.longWorkMinimum ?? 0) * totalSlots);
+  /** Lets the ledger know that long work lacks slots, by a reservation that fails. */
+  function ask({id, size}: Job): void {
+    for (const {host, state} of context.getHosts()) {
+      if (state !== HostState.Active) continue;
+      if (slots.getFree(host.id) >= size.slots) continue;
+      if (slots.reserve(id, host.id, size.slots)) slots.release(id);
+      return;
+    }
+  }
+
+  function countSlots(): number {
+    return context.getHosts().reduce((sum, {host}) => sum + host.slots, 0);
+  }
+
+  function countPlaceableNow(): number {
+    const minimum = context.getProfile()?.longWorkMinimum ?? 0;
+    return countPlaceable({
+      shortage: slots.getShortage().slots,
+      sinceShortageMs: sinceShortage(),
+      held: heldSlots.count(),
+      kept: Math.floor(minimum * countSlots()),
+    });
+  }
+
+  function plan(
+    waiting: readonly Job[],
+    placeable: number,
+  ): readonly Placement[] {
     const teamSlots = new Map<string, number>();
     for (const {job, size} of heldSlots.all()) {
       teamSlots.set(job.team, (teamSlots.get(job.team) ?? 0) + size.slots);
@@ -74,14 +101,9 @@
       rooms: listRooms(),
       estimate: context.estimates.estimate,
       teamSlots,
-      teamQuotas: profile?.teamQuotas ?? {},
-      totalSlots,
-      placeable: countPlaceable({
-        shortage: slots.getShortage().slots,
-        sinceShortageMs: sinceShortage(),
-        held: heldSlots.count(),
-        kept,
-      }),
+      teamQuotas: context.getProfile()?.teamQuotas ?? {},
+      totalSlots: countSlots(),
+      placeable,
       limit: ROUND_LIMIT,
     });
   }
--- a/src/decisions/membership/preferred_member.ts
+++ b/src/decisions/membership/preferred_member.ts
@@ -1,32 +1,25 @@
-import {createHash} from 'node:crypto';
 import {Member} from '../../types';
+import {rendezvousScore} from './rendezvous_score';
 
 /**
- * Finds the member that should lead a pool, by rendezvous hashing.
+ * Finds the member that a name belongs to, by rendezvous hashing.
  *
- * @param pool name of the pool
+ * @param name what is placed
  * @param members live members; leaving ones are passed over
  * @returns the preferred member, or undefined if there is none
  */
 export function findPreferredMember(
-  pool: string,
+  name: string,
   members: readonly Member[],
 ): Member | undefined {
   let best: Member | undefined;
   let bestScore = -1;
   for (const member of members) {
     if (member.leaving) continue;
-    const score = scoreOf(pool, member.id);
+    const score = rendezvousScore(name, member.id);
     if (score <= bestScore) continue;
     best = member;
     bestScore = score;
   }
   return best;
 }
-
-const SCORE_BYTES = 6;
-
-function scoreOf(pool: string, memberId: string): number {
-  const digest = createHash('sha1').update(`${pool}\n${memberId}`).digest();
-  return digest.readUIntBE(0, SCORE_BYTES);
-}
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -1,5 +1,6 @@
 import {isIP} from 'node:net';
 import {z} from 'zod';
+import {SlotPolicyKind} from '../decisions/requests';
 import {LogFormat, LogLevel} from '../telemetry';
 import {Setting} from './setting';
 
@@ -34,6 +35,10 @@
   .string()
   .refine(isBaseUrl, 'must be an http or https URL without a path');
 
+const peerAddress = z
+  .string()
+  .regex(/^.+:[0-9]{1,5}$/, 'must be an IP address and port, as 10.0.0.1:8082');
+
 /** Every setting of an entry host, in the order of the help text. */
 export const SETTINGS: readonly Setting[] = [
   {
@@ -92,6 +97,14 @@
     schema: baseUrl,
     defaultValue: 'http://127.0.0.1:9000',
   },
+  {
+    key: 'seeds',
+    flag: 'seed',
+    describe:
+      "IP address and peer port of a member to ask while the store can't tell any; may be repeated",
+    schema: z.array(peerAddress).optional(),
+    repeatable: true,
+  },
   {
     key: 'operatorToken',
     flag: 'operator-token',
@@ -151,6 +164,22 @@
       .max(MAX_CONNECTIONS, `must be at most ${MAX_CONNECTIONS}`),
     defaultValue: 8,
   },
+  {
+    key: 'silenceMs',
+    flag: 'silence-ms',
+    describe:
+      'least wait for the first byte of an idempotent answer before another worker is tried',
+    schema: timeout,
+    defaultValue: 1_000,
+  },
+  {
+    key: 'slotPolicy',
+    flag: 'slot-policy',
+    describe: 'way of sharing slots between entry hosts',
+    schema: z.enum(SlotPolicyKind),
+    defaultValue: SlotPolicyKind.Lending,
+    hidden: true,
+  },
   {
     key: 'workerTimeoutMs',
     flag: 'worker-timeout-ms',
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,3 +1,4 @@
+import {SlotPolicyKind} from '../decisions/requests';
 import {LogFormat, LogLevel} from '../telemetry';
 
 /** Settings of one entry host. */
@@ -12,6 +13,8 @@
   /** Base URLs of the platform's key-value service. */
   readonly storeUrls: readonly string[];
   readonly hostListUrl: string;
+  /** IP addresses and peer ports of members to ask while the store can't tell any. */
+  readonly seeds?: readonly string[];
   /** Token that operators' calls carry; undefined leaves them open. */
   readonly operatorToken?: string;
   /** Certificate of this entry host: a file's path or PEM text. */
@@ -26,6 +29,10 @@
   readonly storeTimeoutMs: number;
   /** Connections to one worker for requests. */
   readonly connectionsPerWorker: number;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
+  /** Way of sharing slots between entry hosts. */
+  readonly slotPolicy?: SlotPolicyKind;
   /** Time limit of a control call to a worker, in ms. */
   readonly workerTimeoutMs: number;
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,5 +1,9 @@
 import {start, stop} from 'nact';
-import {createClaimedRequests, createClaims} from '../actors/claims';
+import {
+  createClaimedRequests,
+  createClaims,
+  createSingleUseWorkers,
+} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
@@ -14,17 +18,28 @@
 } from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
+  Explanations,
   Heartbeats,
   LeadershipActor,
   MembershipActor,
+  Relay,
+  createExplainHandler,
+  createExplanations,
   createHeartbeats,
   createLeadershipActor,
   createMembershipActor,
+  createRelay,
 } from '../actors/membership';
-import {Requests, createRequests} from '../actors/requests';
-import {SlotPolicy, splitStatically} from '../decisions/requests';
+import {
+  Requests,
+  createPoolHostsCache,
+  createRequests,
+  createSlotSharing,
+} from '../actors/requests';
+import {createSlotBorrower, createSlotLenders} from '../actors/slots';
+import {SlotPolicyKind, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
-import {heartbeatMethod} from '../protocol';
+import {borrowMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
 import {Member} from '../types';
 import {Outside} from './outside';
@@ -35,6 +50,8 @@
   readonly configuration: ConfigurationActor;
   readonly membership: MembershipActor;
   readonly heartbeats: Heartbeats;
+  readonly relay: Relay;
+  readonly explanations: Explanations;
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
@@ -58,30 +75,60 @@
   readonly self: Member;
   readonly outside: Outside;
   readonly telemetry: Telemetry;
-  /** Decides which slots this entry host may use. */
-  readonly slotPolicy?: SlotPolicy;
+  /** Way of sharing slots; lending by default. */
+  readonly slotPolicy?: SlotPolicyKind;
+  /** Least wait for the first byte of an idempotent request's answer, in ms. */
+  readonly silenceMs?: number;
+  /** Members to ask while the store can't tell any. */
+  readonly seeds?: readonly Member[];
   /** Time that a claim of an idempotency key is kept at least, in ms. */
   readonly claimRetentionMs?: number;
 }
 
+/** Least wait for the first byte of an idempotent request's answer. */
+export const DEFAULT_SILENCE_MS = 1_000;
+
 /** Wires an entry host's actors. */
 export function createCore(options: CoreOptions): Core {
-  const {self, outside, telemetry, slotPolicy = splitStatically} = options;
-  const {store, hostList, workers, peers} = outside;
+  const {self, outside, telemetry} = options;
+  const {slotPolicy = SlotPolicyKind.Lending} = options;
+  const {silenceMs = DEFAULT_SILENCE_MS} = options;
+  const {hostList, workers, peers} = outside;
+  const seeds = options.seeds ?? [];
   const system = start();
   let stopping = false;
 
+  const getMembers = () => membership.members.get();
+  const getOthers = () => getMembers().filter(member => member.id !== self.id);
+  const relay = createRelay({
+    store: outside.store,
+    peers,
+    telemetry,
+    selfId: self.id,
+    getMembers,
+    seeds,
+  });
+  const {store} = relay;
   const view = createFleetView({store, hostList, telemetry});
   const configuration = createConfigurationActor({
     system,
     store,
+    peers,
+    selfId: self.id,
     telemetry,
+    getOthers,
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
   const getProfiles = () => configuration.current.get()?.profiles ?? [];
   const getRevision = () => configuration.current.get()?.revision ?? 0;
-  const heartbeats = createHeartbeats({peers, membership, getRevision});
+  const heartbeats = createHeartbeats({
+    peers,
+    membership,
+    getRevision,
+    onHigherRevision: configuration.pull,
+    seeds,
+  });
   const leadership = createLeadershipActor({
     system,
     store,
@@ -89,9 +136,18 @@
     membership,
     configuration: configuration.current,
   });
+  relay.start();
+  const getMemberIds = () => getMembers().map(member => member.id);
+  const lenders = createSlotLenders({
+    memberId: self.id,
+    getMemberIds,
+    getLeaders: leadership.getLeaders,
+    isLeased: () => membership.getLease() !== undefined,
+  });
   const leaders = createPoolLeaders({
+    lenders,
     system,
-    outside,
+    outside: {...outside, store},
     telemetry,
     view,
     configuration,
@@ -106,15 +162,38 @@
     getMembers: membership.members.get,
     retentionMs: options.claimRetentionMs,
   });
+  const poolHosts = createPoolHostsCache(view);
+  const borrower = createSlotBorrower({
+    self,
+    peers,
+    getMembers,
+    getLeaders: leadership.getLeaders,
+    lend: lenders.lend,
+    getPools: () => listPools(configuration),
+    takeUsage: pool => routed.takeUsage(pool),
+    getSplit: pool =>
+      splitStatically({
+        hosts: poolHosts.get(pool),
+        memberIds: getMemberIds(),
+        memberId: self.id,
+      }),
+    onChange: pool => routed.review(pool),
+  });
   const routed = createRequests({
     system,
-    workers,
+    workers: createSingleUseWorkers(workers),
     telemetry,
     configuration: configuration.current,
-    getPoolHosts: view.getPoolHosts,
-    getMemberIds: () => membership.members.get().map(member => member.id),
-    memberId: self.id,
-    slotPolicy,
+    getPoolHosts: poolHosts.get,
+    availabilityZone: self.availabilityZone,
+    silenceMs,
+    sharing: createSlotSharing({
+      kind: slotPolicy,
+      memberId: self.id,
+      getHosts: poolHosts.get,
+      getMembers,
+      borrower,
+    }),
   });
   const requests = createClaimedRequests({
     requests: routed,
@@ -124,13 +203,17 @@
   });
 
   function dispose(): void {
+    borrower.dispose();
+    poolHosts.dispose();
     leaders.dispose();
+    lenders.dispose();
     leadership.dispose();
     heartbeats.dispose();
     membership.dispose();
     configuration.dispose();
     requests.dispose();
     view.dispose();
+    relay.dispose();
     stop(system);
     store.dispose();
     hostList.dispose();
@@ -142,9 +225,15 @@
     configuration,
     membership,
     heartbeats,
+    relay,
+    explanations: createExplanations({
+      peers,
+      telemetry,
+      getOthers,
+    }),
     leadership,
     view,
-    waves: createWaves(store, view, getProfiles),
+    waves: createWaves({store, view, telemetry, getProfiles}),
     hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
@@ -154,18 +243,17 @@
     }),
     requests,
     handlers: [
+      heartbeats.handler,
+      relay.handler,
+      ...configuration.handlers,
+      createExplainHandler(telemetry),
       ...claims.handlers,
-      {
-        method: heartbeatMethod,
-        handle: async () => ({
-          memberId: self.id,
-          configurationRevision: getRevision(),
-        }),
-      },
+      {method: borrowMethod, handle: async report => lenders.lend(report)},
     ],
     isReady: () =>
       !stopping &&
       configuration.current.get() !== undefined &&
+      heartbeats.asked.get() &&
       view.hosts.get() !== undefined &&
       membership.members.get().some(member => member.id === self.id),
     async startStop() {
@@ -181,3 +269,8 @@
     dispose,
   };
 }
+
+function listPools(configuration: ConfigurationActor): readonly string[] {
+  const profiles = configuration.current.get()?.profiles ?? [];
+  return [...new Set(profiles.map(profile => profile.pool))];
+}
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,8 +1,10 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createHostRoutes,
   createJobReleaseRoutes,
   createOperatorsHandle,
+  createPageRoutes,
   createProfileRoutes,
   createStatusRoutes,
   createWaveRoutes,
@@ -76,14 +78,23 @@
     startedAt: Date.now(),
     leaving: false,
   };
-  const core = createCore({self: member, outside, telemetry});
+  const core = createCore({
+    self: member,
+    outside,
+    telemetry,
+    slotPolicy: settings.slotPolicy,
+    silenceMs: settings.silenceMs,
+    seeds: (settings.seeds ?? []).map(readSeed),
+  });
   peerServer.serve(core.handlers);
   callers.serve(createCallersHandle({...core, telemetry}));
   operators.serve(
     createOperatorsHandle(
       [
-        ...createProfileRoutes(core.configuration),
+        ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
+        ...createHostRoutes(core.hosts),
+        ...createPageRoutes({...core, telemetry}),
         ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
@@ -114,3 +125,18 @@
     stop: () => (stopped ??= stop()),
   };
 }
+
+/** Returns a member of which only the address is known. */
+function readSeed(text: string): Member {
+  const colon = text.lastIndexOf(':');
+  return {
+    id: `seed-${text}`,
+    availabilityZone: '',
+    address: text.slice(0, colon),
+    callerPort: 0,
+    operatorPort: 0,
+    peerPort: Number(text.slice(colon + 1)),
+    startedAt: 0,
+    leaving: false,
+  };
+}
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -6,7 +6,7 @@
   findHostsInLine,
 } from '../actors/fleet';
 import {Caretaker, createPoolJobsActor} from '../actors/jobs';
-import {createPoolSlots} from '../actors/slots';
+import {SlotLenders} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
 import {Telemetry} from '../telemetry';
 import {Outside} from './outside';
@@ -24,6 +24,7 @@
   readonly view: FleetView;
   readonly configuration: ConfigurationActor;
   readonly leadership: LeadershipActor;
+  readonly lenders: SlotLenders;
 }
 
 interface Led {
@@ -63,7 +64,7 @@
       getConfiguration: configuration.current.get,
     });
     const getHosts = () => view.getPoolHosts(pool);
-    const slots = createPoolSlots(getHosts);
+    const slots = options.lenders.open(pool, term, getHosts);
     const jobs = createPoolJobsActor({
       ...shared,
       getHosts,
@@ -75,19 +76,15 @@
       },
       onSuspect: (hostId, cause) => void fleet.quarantine(hostId, cause),
     });
-    const disposeOthers = () => {
-      fleet.dispose();
-      slots.dispose();
-    };
     return {
       term,
       dispose() {
         jobs.dispose();
-        disposeOthers();
+        fleet.dispose();
       },
       resign() {
         const caretaker = jobs.resign();
-        disposeOthers();
+        fleet.dispose();
         return caretaker;
       },
     };
