--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,4 +1,5 @@
 import {Bench} from '../shared';
+import {probeJobs} from './jobs';
 import {probeClaims} from './claims';
 import {probeControl} from './control';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
@@ -7,6 +8,7 @@
 
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
+  jobs: probeJobs,
   claims: probeClaims,
   control: probeControl,
 };
