--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,10 +1,13 @@
 import {Bench} from '../shared';
+import {probeFleet} from './fleet';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
 export * from './slope';
 
 /** Probes by area; each measures its own roles and decisions. */
-const PROBES: Readonly<Record<string, ScaleProbe>> = {};
+const PROBES: Readonly<Record<string, ScaleProbe>> = {
+  fleet: probeFleet,
+};
 
 /** Measures how each role's costs grow, and fits a line to each. */
 export const runScaleBench: Bench = async ({seed, quick, progress}) => {
--- a/src/actors/fleet/host_probes.ts
+++ b/src/actors/fleet/host_probes.ts
@@ -11,7 +11,7 @@
     hosts: ReadonlyMap<string, Host>,
     inMotion: ReadonlySet<string>,
   ): void;
-  /** Makes a host due at once. */
+  /** Probes a host at once, or right after the probe that is under way. */
   hasten(hostId: string): void;
 }
 
@@ -82,15 +82,16 @@
       for (const host of hosts.values()) {
         const probe = findProbe(host);
         if (probe.inFlight || now < probe.dueAt) continue;
-        const suspect = (probe.observation?.failures ?? 0) > 0;
-        const often = inMotion.has(host.id) && !suspect;
+        const often = inMotion.has(host.id);
         probe.dueAt = now + (often ? MOTION_PROBE_MS : STEADY_PROBE_MS);
         void run(probe);
       }
     },
     hasten(hostId) {
       const probe = probes.get(hostId);
-      if (probe) probe.dueAt = 0;
+      if (!probe) return;
+      probe.dueAt = 0;
+      if (!probe.inFlight) void run(probe);
     },
   };
 }
--- a/src/actors/fleet/pool_fleet_actor.ts
+++ b/src/actors/fleet/pool_fleet_actor.ts
@@ -1,6 +1,6 @@
 import {ActorSystemRef, Ref, dispatch} from 'nact';
 import {Result} from 'true-myth';
-import {RefusalReason, Unavailability} from '../../types';
+import {HostState, RefusalReason, Unavailability} from '../../types';
 import {createActor, createTicker} from '../shared';
 import {Ledger} from './ledger_store';
 import {PoolReviewOptions, createPoolReview} from './pool_review';
@@ -38,6 +38,12 @@
 
 type Message = ReviewMessage | QuarantineMessage;
 
+/** States that end as soon as the host has reached them. */
+const IN_MOTION: readonly HostState[] = [
+  HostState.Draining,
+  HostState.Rebooting,
+  HostState.Moving,
+];
 const TICK_MS = 100;
 /** Ticks between two reviews without news. */
 const REVIEW_TICKS = 10;
@@ -90,7 +96,8 @@
   }
 
   function tick(): void {
-    const inMotion = view.getRecord(pool)?.unavailable ?? [];
+    const unavailable = view.getRecord(pool)?.unavailable ?? [];
+    const inMotion = unavailable.filter(({state}) => IN_MOTION.includes(state));
     reviews.probes.probeDue(
       view.getListed(pool),
       new Set(inMotion.map(entry => entry.hostId)),
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -1,6 +1,10 @@
 import {ActorSystemRef} from 'nact';
 import {ConfigurationActor} from '../actors/configuration';
-import {FleetView, createPoolFleetActor} from '../actors/fleet';
+import {
+  FleetView,
+  createPoolFleetActor,
+  findHostsInLine,
+} from '../actors/fleet';
 import {Caretaker, createPoolJobsActor} from '../actors/jobs';
 import {SlotLenders} from '../actors/slots';
 import {LeadershipActor} from '../actors/membership';
@@ -66,6 +70,10 @@
       getHosts,
       slots,
       getProfile,
+      getNextDrains: () => {
+        const profile = getProfile();
+        return new Set(profile ? findHostsInLine(view, profile) : []);
+      },
       onSuspect: (hostId, cause) => void fleet.quarantine(hostId, cause),
     });
     return {
