Plan waves in one pass and look hosts of a wave up in a set

The scale bench showed the plan growing with workers times pools and the drain choice with the size of the wave: each pool looked at every assignment, and each host at the wave's list. Lengths of maintenance are grouped once; a wave's set of hosts is built once per version; the choice walks the pool's hosts.

--- a/src/decisions/fleet/next_drains.ts
+++ b/src/decisions/fleet/next_drains.ts
@@ -84,10 +84,22 @@
   assignment: HostAssignment | undefined,
 ): boolean {
   if (wave.state !== WaveState.Active) return false;
-  if (!wave.hostIds.includes(hostId)) return false;
+  if (!coversHost(wave, hostId)) return false;
   return !assignment?.completedWaves.includes(wave.id);
 }
 
+const hostSets = new WeakMap<Wave, ReadonlySet<string>>();
+
+/** Tells whether a wave covers a host; a wave's set of hosts is built once. */
+export function coversHost(wave: Wave, hostId: string): boolean {
+  let covered = hostSets.get(wave);
+  if (!covered) {
+    covered = new Set(wave.hostIds);
+    hostSets.set(wave, covered);
+  }
+  return covered.has(hostId);
+}
+
 function countLeft(inputs: DrainInputs): number {
   const {profile, unavailable, hosts, observations} = inputs;
   const taken = new Set(unavailable.map(entry => entry.hostId));
@@ -103,9 +115,8 @@
   const candidates = new Map<string, Candidate>();
   const taken = new Set(inputs.unavailable.map(entry => entry.hostId));
   sortWaves(inputs.waves).forEach((wave, order) => {
-    for (const hostId of wave.hostIds) {
-      const host = inputs.hosts.get(hostId);
-      if (!host || taken.has(hostId) || candidates.has(hostId)) continue;
+    for (const [hostId, host] of inputs.hosts) {
+      if (taken.has(hostId) || candidates.has(hostId)) continue;
       if (!isWanted(wave, hostId, inputs.assignments.get(hostId))) continue;
       candidates.set(hostId, {hostId, waveId: wave.id, order, host});
     }
--- a/src/decisions/fleet/plan_wave.ts
+++ b/src/decisions/fleet/plan_wave.ts
@@ -44,6 +44,7 @@
  */
 export function planWave(inputs: PlanInputs): WavePlan {
   const hostsByPool = groupByPool(inputs);
+  const lengths = groupLengths(inputs.assignments);
   const pools: PoolPlan[] = [];
   const obstacles: string[] = [];
   for (const [pool, hostIds] of hostsByPool) {
@@ -55,7 +56,7 @@
     if (profile.maxUnavailable === 0) {
       obstacles.push(`${pool} allows no host to be unavailable`);
     }
-    pools.push(planPool(inputs, profile, hostIds));
+    pools.push(planPool(inputs, profile, hostIds, lengths.get(pool) ?? []));
   }
   return {
     hostIds: inputs.hostIds,
@@ -82,10 +83,11 @@
   inputs: PlanInputs,
   profile: Profile,
   hostIds: readonly string[],
+  lengths: readonly number[],
 ): PoolPlan {
   const record = inputs.records.get(profile.pool);
   const others = record?.unavailable.filter(entry => !entry.waveId) ?? [];
-  const maintenanceMs = estimateMaintenance(inputs, profile.pool);
+  const maintenanceMs = findTypical(lengths);
   const budget = profile.maxUnavailable;
   const left = budget - others.length;
   return {
@@ -114,13 +116,22 @@
   return Math.ceil(hosts / Math.max(1, budget)) * maintenanceMs;
 }
 
-function estimateMaintenance(inputs: PlanInputs, pool: string): number {
-  const known: number[] = [];
-  for (const assignment of inputs.assignments.values()) {
-    if (assignment.pool !== pool) continue;
-    if (assignment.maintenanceMs) known.push(assignment.maintenanceMs);
+/** Collects the lengths of the last maintenance of each pool's hosts, in ms. */
+function groupLengths(
+  assignments: ReadonlyMap<string, HostAssignment>,
+): ReadonlyMap<string, readonly number[]> {
+  const groups = new Map<string, number[]>();
+  for (const {pool, maintenanceMs} of assignments.values()) {
+    if (!maintenanceMs) continue;
+    const group = groups.get(pool);
+    if (group) group.push(maintenanceMs);
+    else groups.set(pool, [maintenanceMs]);
   }
-  if (known.length === 0) return DEFAULT_MAINTENANCE_MS;
-  known.sort((a, b) => a - b);
-  return known[Math.floor(known.length / 2)];
+  return groups;
+}
+
+function findTypical(lengths: readonly number[]): number {
+  if (lengths.length === 0) return DEFAULT_MAINTENANCE_MS;
+  const sorted = [...lengths].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)];
 }
