--- a/features/product/tls.steps.ts
+++ b/features/product/tls.steps.ts
@@ -96,7 +96,12 @@
   identity = createIdentity(first);
   const {server} = createGrpcCredentials(identity);
   peerServer = await createGrpcPeerServer(ADDRESS, 0, server);
-  const heartbeat = {memberId: 'a', configurationRevision: 7};
+  const heartbeat = {
+    memberId: 'a',
+    configurationRevision: 7,
+    incarnation: '',
+    storeAnswers: true,
+  };
   peerServer.serve([{method: heartbeatMethod, handle: async () => heartbeat}]);
 });
 
@@ -226,7 +231,12 @@
     startedAt: 0,
     leaving: false,
   };
-  const request = {memberId: 'b', configurationRevision: 1};
+  const request = {
+    memberId: 'b',
+    configurationRevision: 1,
+    incarnation: '',
+    storeAnswers: true,
+  };
   const reply = await peers.call(
     member,
     heartbeatMethod,
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -1,5 +1,9 @@
 import {start, stop} from 'nact';
-import {createClaimedRequests, createClaims} from '../actors/claims';
+import {
+  createClaimedRequests,
+  createClaims,
+  createSingleUseWorkers,
+} from '../actors/claims';
 import {
   ConfigurationActor,
   createConfigurationActor,
@@ -14,12 +18,17 @@
 } from '../actors/fleet';
 import {JobCalls, createJobCalls} from '../actors/jobs';
 import {
+  Explanations,
   Heartbeats,
   LeadershipActor,
   MembershipActor,
+  Relay,
+  createExplainHandler,
+  createExplanations,
   createHeartbeats,
   createLeadershipActor,
   createMembershipActor,
+  createRelay,
 } from '../actors/membership';
 import {
   Requests,
@@ -30,9 +39,9 @@
 import {createSlotBorrower, createSlotLenders} from '../actors/slots';
 import {SlotPolicyKind, splitStatically} from '../decisions/requests';
 import {AnyPeerHandler} from '../ports';
-import {borrowMethod, heartbeatMethod} from '../protocol';
+import {borrowMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
-import {Member} from '../types';
+import {Loan, Member} from '../types';
 import {Outside} from './outside';
 import {createPoolLeaders} from './pool_leaders';
 
@@ -41,12 +50,16 @@
   readonly configuration: ConfigurationActor;
   readonly membership: MembershipActor;
   readonly heartbeats: Heartbeats;
+  readonly relay: Relay;
+  readonly explanations: Explanations;
   readonly leadership: LeadershipActor;
   readonly view: FleetView;
   readonly waves: Waves;
   readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
+  /** Returns the slots lent to this entry host; undefined without a loan. */
+  getLoans(pool: string): readonly Loan[] | undefined;
   /** What answers the calls of other members. */
   readonly handlers: readonly AnyPeerHandler[];
   /** True while new requests are welcome. */
@@ -68,6 +81,8 @@
   readonly slotPolicy?: SlotPolicyKind;
   /** Least wait for the first byte of an idempotent request's answer, in ms. */
   readonly silenceMs?: number;
+  /** Members to ask while the store can't tell any. */
+  readonly seeds?: readonly Member[];
   /** Time that a claim of an idempotency key is kept at least, in ms. */
   readonly claimRetentionMs?: number;
 }
@@ -80,21 +95,42 @@
   const {self, outside, telemetry} = options;
   const {slotPolicy = SlotPolicyKind.Lending} = options;
   const {silenceMs = DEFAULT_SILENCE_MS} = options;
-  const {store, hostList, workers, peers} = outside;
+  const {hostList, workers, peers} = outside;
+  const seeds = options.seeds ?? [];
   const system = start();
   let stopping = false;
 
+  const getMembers = () => membership.members.get();
+  const getOthers = () => getMembers().filter(member => member.id !== self.id);
+  const relay = createRelay({
+    store: outside.store,
+    peers,
+    telemetry,
+    selfId: self.id,
+    getMembers,
+    seeds,
+  });
+  const {store} = relay;
   const view = createFleetView({store, hostList, telemetry});
   const configuration = createConfigurationActor({
     system,
     store,
+    peers,
+    selfId: self.id,
     telemetry,
+    getOthers,
     countHosts: () => view.hosts.get()?.length,
   });
   const membership = createMembershipActor({system, store, telemetry, self});
   const getProfiles = () => configuration.current.get()?.profiles ?? [];
   const getRevision = () => configuration.current.get()?.revision ?? 0;
-  const heartbeats = createHeartbeats({peers, membership, getRevision});
+  const heartbeats = createHeartbeats({
+    peers,
+    membership,
+    getRevision,
+    onHigherRevision: configuration.pull,
+    seeds,
+  });
   const leadership = createLeadershipActor({
     system,
     store,
@@ -102,7 +138,7 @@
     membership,
     configuration: configuration.current,
   });
-  const getMembers = membership.members.get;
+  relay.start();
   const getMemberIds = () => getMembers().map(member => member.id);
   const lenders = createSlotLenders({
     memberId: self.id,
@@ -113,7 +149,7 @@
   const leaders = createPoolLeaders({
     lenders,
     system,
-    outside,
+    outside: {...outside, store},
     telemetry,
     view,
     configuration,
@@ -147,7 +183,7 @@
   });
   const routed = createRequests({
     system,
-    workers,
+    workers: createSingleUseWorkers(workers),
     telemetry,
     configuration: configuration.current,
     getPoolHosts: poolHosts.get,
@@ -179,6 +215,7 @@
     configuration.dispose();
     requests.dispose();
     view.dispose();
+    relay.dispose();
     stop(system);
     store.dispose();
     hostList.dispose();
@@ -190,6 +227,12 @@
     configuration,
     membership,
     heartbeats,
+    relay,
+    explanations: createExplanations({
+      peers,
+      telemetry,
+      getOthers,
+    }),
     leadership,
     view,
     waves: createWaves({store, view, telemetry, getProfiles}),
@@ -201,20 +244,19 @@
       getPoolHosts: view.getPoolHosts,
     }),
     requests,
+    getLoans: borrower.getLoans,
     handlers: [
+      heartbeats.handler,
+      relay.handler,
+      ...configuration.handlers,
+      createExplainHandler(telemetry),
       ...claims.handlers,
-      {
-        method: heartbeatMethod,
-        handle: async () => ({
-          memberId: self.id,
-          configurationRevision: getRevision(),
-        }),
-      },
       {method: borrowMethod, handle: async report => lenders.lend(report)},
     ],
     isReady: () =>
       !stopping &&
       configuration.current.get() !== undefined &&
+      heartbeats.asked.get() &&
       view.hosts.get() !== undefined &&
       membership.members.get().some(member => member.id === self.id),
     async startStop() {
