--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,5 +1,6 @@
 import {Bench} from '../shared';
 import {probeJobs} from './jobs';
+import {probeFleet} from './fleet';
 import {probeClaims} from './claims';
 import {probeControl} from './control';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
@@ -9,6 +10,7 @@
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
   jobs: probeJobs,
+  fleet: probeFleet,
   claims: probeClaims,
   control: probeControl,
 };
