--- a/features/support/paused_clock.ts
+++ b/features/support/paused_clock.ts
@@ -1,4 +1,4 @@
-import {After, Before} from '@cucumber/cucumber';
+import {After, Before, setDefaultTimeout} from '@cucumber/cucumber';
 import FakeTimers from '@sinonjs/fake-timers';
 import prand from 'pure-rand';
 
@@ -6,11 +6,16 @@
 const START_AT = Date.UTC(2026, 0, 5);
 const SEED = 20260105;
 const STEP_MS = 50;
+/** Limit of a step on the system's clock, which a busy machine must not reach, in ms. */
+const STEP_LIMIT_MS = 120_000;
+
+setDefaultTimeout(STEP_LIMIT_MS);
 
 let installed: ReturnType<typeof FakeTimers.install> | undefined;
 const systemRandom = Math.random;
 
-Before(() => {
+/** Scenarios over real sockets keep the real clock and wait for events only. */
+Before({tags: 'not @real-clock'}, () => {
   installed = FakeTimers.install({
     now: START_AT,
     toFake: [
@@ -59,16 +64,18 @@
  *
  * @param isDone the condition
  * @param limitMs longest time to advance
+ * @param stepMs time between two looks at the condition
  * @returns time advanced in ms
  * @throws Error if the condition doesn't hold in time
  */
 export async function advanceUntil(
   isDone: () => boolean | Promise<boolean>,
   limitMs: number,
+  stepMs = STEP_MS,
 ): Promise<number> {
-  for (let passed = 0; passed <= limitMs; passed += STEP_MS) {
+  for (let passed = 0; passed <= limitMs; passed += stepMs) {
     if (await isDone()) return passed;
-    await advance(STEP_MS);
+    await advance(stepMs);
   }
   throw new Error(`did not happen within ${limitMs} ms`);
 }
@@ -91,3 +98,12 @@
   await advanceUntil(() => settled, limitMs);
   return promise;
 }
+
+/**
+ * Advances the paused clock without letting promises run in between.
+ *
+ * @param ms time to advance
+ */
+export function tickSync(ms: number): void {
+  installed?.tick(ms);
+}
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,4 +1,8 @@
 /** Messages between members: protobuf definitions and their gRPC methods. */
 export * from './borrow';
+export * from './claims';
+export * from './explain';
+export * from './gossip';
 export * from './heartbeat';
 export * from './method';
+export * from './relay';
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,5 +1,5 @@
 import {SlotPolicyKind} from '../decisions/requests';
-import {LogLevel} from '../telemetry';
+import {LogFormat, LogLevel} from '../telemetry';
 
 /** Settings of one entry host. */
 export interface Settings {
@@ -13,9 +13,18 @@
   /** Base URLs of the platform's key-value service. */
   readonly storeUrls: readonly string[];
   readonly hostListUrl: string;
+  /** IP addresses and peer ports of members to ask while the store can't tell any. */
+  readonly seeds?: readonly string[];
   /** Token that operators' calls carry; undefined leaves them open. */
   readonly operatorToken?: string;
+  /** Certificate of this entry host: a file's path or PEM text. */
+  readonly tlsCertificate?: string;
+  /** Private key of the certificate: a file's path or PEM text. */
+  readonly tlsKey?: string;
+  /** Authorities of members and operators: a file's path or PEM text. */
+  readonly tlsAuthorities?: string;
   readonly logLevel: LogLevel;
+  readonly logFormat: LogFormat;
   /** Time limit of a call to the key-value service, in ms. */
   readonly storeTimeoutMs: number;
   /** Connections to one worker for requests. */
--- a/src/stand_ins/worker/memory_workers.ts
+++ b/src/stand_ins/worker/memory_workers.ts
@@ -47,14 +47,18 @@
         ]),
       });
     },
-    report: async host => find(host).map(model => model.report()),
+    report: async (host, fence) =>
+      find(host).andThen(model =>
+        fence ? model.reportTo(fence) : Result.ok(model.report()),
+      ),
     startTask: async (host, start) =>
       find(host).andThen(model => model.startTask(start)),
     orderTask: async (host, jobId, attempt, term, order) =>
       find(host).andThen(model => model.orderTask(jobId, attempt, term, order)),
     setDraining: async (host, draining) =>
       find(host).map(model => model.setDraining(draining)),
-    reboot: async host => find(host).map(model => model.reboot()),
+    reboot: async (host, bootNumber) =>
+      find(host).map(model => model.reboot(bootNumber)),
     dispose: () => {},
   };
 }
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,18 +1,20 @@
-import {createGrpcPeerServer} from '../adapters/peer';
+import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createJobReleaseRoutes,
   createOperatorsHandle,
   createProfileRoutes,
   createStatusRoutes,
   createWaveRoutes,
 } from '../http/operators';
 import {createListener} from '../http/shared';
+import {TlsIdentity} from '../security';
 import {Settings} from '../settings';
 import {delay} from '../state';
 import {Telemetry, createTelemetry} from '../telemetry';
 import {Member} from '../types';
 import {createCore} from './core';
-import {Outside, createOutside} from './outside';
+import {createOutside} from './outside';
 
 /** A running entry host. */
 export interface Entry {
@@ -26,6 +28,8 @@
 
 /** Time between the loss of readiness and the end of listening, in ms. */
 const BALANCER_MS = 500;
+/** Longest wait for leaderships to be handed over, in ms. */
+const HANDOVER_LIMIT_MS = 5_000;
 
 /**
  * Wires and starts an entry host.
@@ -34,17 +38,33 @@
  * them; calls that come earlier are refused.
  *
  * @param settings checked settings
- * @param outside the outside; the settings' adapters by default
+ * @param identity TLS material of all ports; plain ports without one
  */
 export async function createEntry(
   settings: Settings,
-  outside: Outside = createOutside(settings),
+  identity?: TlsIdentity,
 ): Promise<Entry> {
   const {address, memberId} = settings;
   const telemetry = createTelemetry(memberId, settings.logLevel);
-  const callers = await createListener(address, settings.callerPort);
-  const operators = await createListener(address, settings.operatorPort);
-  const peerServer = await createGrpcPeerServer(address, settings.peerPort);
+  const credentials = identity && createGrpcCredentials(identity);
+  const outside = createOutside(settings, credentials);
+  const callers = await createListener(
+    address,
+    settings.callerPort,
+    {},
+    identity,
+  );
+  const operators = await createListener(
+    address,
+    settings.operatorPort,
+    {},
+    identity,
+  );
+  const peerServer = await createGrpcPeerServer(
+    address,
+    settings.peerPort,
+    credentials?.server,
+  );
 
   const member: Member = {
     id: memberId,
@@ -62,14 +82,16 @@
     telemetry,
     slotPolicy: settings.slotPolicy,
     silenceMs: settings.silenceMs,
+    seeds: (settings.seeds ?? []).map(readSeed),
   });
   peerServer.serve(core.handlers);
   callers.serve(createCallersHandle({...core, telemetry}));
   operators.serve(
     createOperatorsHandle(
       [
-        ...createProfileRoutes(core.configuration),
+        ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
+        ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
       settings.operatorToken,
@@ -78,8 +100,14 @@
   let stopped: Promise<void> | undefined;
 
   async function stop(): Promise<void> {
-    await core.startStop();
+    const handedOver = core
+      .startStop()
+      .catch((error: Error) =>
+        telemetry.log.error('handing over failed', {error: error.message}),
+      );
+    callers.startClosing();
     await delay(BALANCER_MS);
+    await Promise.race([handedOver, delay(HANDOVER_LIMIT_MS)]);
     await callers.dispose();
     await core.finishStop();
     await operators.dispose();
@@ -93,3 +121,18 @@
     stop: () => (stopped ??= stop()),
   };
 }
+
+/** Returns a member of which only the address is known. */
+function readSeed(text: string): Member {
+  const colon = text.lastIndexOf(':');
+  return {
+    id: `seed-${text}`,
+    availabilityZone: '',
+    address: text.slice(0, colon),
+    callerPort: 0,
+    operatorPort: 0,
+    peerPort: Number(text.slice(colon + 1)),
+    startedAt: 0,
+    leaving: false,
+  };
+}
