--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -17,5 +17,6 @@
   path: runPathBench,
   requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
+  requests: runRequestsBench,
   scale: runScaleBench,
 };
