Read a worker's report when its next task ends, and keep results for a set time

Cause: reports that were due between two rounds waited for the next round, up to 200 ms, while the ended task's slot stood idle.

Ruled out: shorter rounds for all (each lists every job and host again).

Change: a report that is due before the longest interval has a timer of its own, at least 50 ms after the last.

--- a/src/actors/jobs/host_poller.ts
+++ b/src/actors/jobs/host_poller.ts
@@ -13,7 +13,7 @@
 }
 
 const MAX_POLL_MS = 3_000;
-const MIN_POLL_MS = 100;
+const MIN_POLL_MS = 50;
 const SILENT_POLL_MS = 1_000;
 /** Shortest poll time of a task whose end can't be foreseen yet. */
 const EARLY_POLL_MS = 400;
@@ -70,7 +70,7 @@
     if (answer.isOk) {
       if (renew.length > 0) watch.renewedAt = sentAt;
       watch.report = answer.value;
-      watch.nextPollAt = performance.now() + chooseInterval(answer.value);
+      schedule(watch, chooseInterval(answer.value));
       return follower.followReport(watch, answer.value);
     }
     if (answer.error === WorkerFailure.Fenced) return context.supersede();
@@ -83,6 +83,16 @@
     return follower.followSilence(watch.host.id);
   }
 
+  /** Polls a worker after a time, between two rounds if its task ends there. */
+  function schedule(watch: HostWatch, ms: number): void {
+    watch.nextPollAt = performance.now() + ms;
+    if (ms >= MAX_POLL_MS) return;
+    setTimeout(() => {
+      const due = watch.nextPollAt <= performance.now();
+      if (due && !watch.polling && context.isLeading()) void poll(watch);
+    }, Math.ceil(ms)).unref?.();
+  }
+
   /** Asks without renewing, so that the leases of a silent worker lapse. */
   async function probe(watch: HostWatch): Promise<void> {
     const answer = await workers.report(watch.host);
--- a/src/actors/jobs/retention.ts
+++ b/src/actors/jobs/retention.ts
@@ -24,15 +24,20 @@
         .filter(({value}) => isFinal(value.state))
         .filter(({value}) => (value.finishedAt ?? Infinity) < before)
         .slice(0, DELETIONS_PER_ROUND);
-      await runBounded(old, DELETIONS_AT_ONCE, async ({key, version}) => {
-        const written = await write(store, {
-          key,
-          expectedVersion: version,
-          value: undefined,
-        });
-        if (written.outcome !== WriteOutcome.Written) return;
-        mirror.accept(key, version + 1, undefined);
-      });
+      await runBounded(
+        old,
+        DELETIONS_AT_ONCE,
+        async ({key, version, value}) => {
+          const written = await write(store, {
+            key,
+            expectedVersion: version,
+            value: undefined,
+          });
+          if (written.outcome !== WriteOutcome.Written) return;
+          mirror.accept(key, version + 1, undefined);
+          context.estimates.forget(value.id);
+        },
+      );
     },
   };
 }
--- a/src/decisions/jobs/estimates.ts
+++ b/src/decisions/jobs/estimates.ts
@@ -12,6 +12,8 @@
   /** Learns from a finished job; the same job teaches once. */
   learn(job: Job): void;
   estimate(job: Job): Estimate;
+  /** Forgets that a deleted job has taught; what it taught stays. */
+  forget(jobId: string): void;
 }
 
 interface Ratios {
@@ -55,6 +57,7 @@
       addRatio(ratios.processors, usage.processors, size.processors);
       addRatio(ratios.memory, usage.memoryMb, size.memoryMb);
     },
+    forget: jobId => void learned.delete(jobId),
     estimate(job) {
       const ratios = ratiosOf(job);
       const {size} = job;
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -5,6 +5,7 @@
 import {Setting} from './setting';
 
 const MAX_PORT = 65_535;
+const MIN_RETENTION_MS = 60_000;
 const MAX_TIMEOUT_MS = 60_000;
 const MAX_CONNECTIONS = 64;
 
@@ -20,6 +21,11 @@
   .min(10, 'must be at least 10 ms')
   .max(MAX_TIMEOUT_MS, `must be at most ${MAX_TIMEOUT_MS} ms`);
 
+const retention = z.coerce
+  .number({error: 'must be a time in ms'})
+  .int('must be a whole number of ms')
+  .min(MIN_RETENTION_MS, `must be at least ${MIN_RETENTION_MS} ms`);
+
 const name = z
   .string()
   .regex(
@@ -187,6 +193,13 @@
     schema: timeout,
     defaultValue: 1_000,
   },
+  {
+    key: 'jobRetentionMs',
+    flag: 'job-retention-ms',
+    describe: 'time for which finished jobs and their results are kept',
+    schema: retention,
+    defaultValue: 604_800_000,
+  },
 ];
 
 function isBaseUrl(text: string): boolean {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -35,4 +35,6 @@
   readonly slotPolicy?: SlotPolicyKind;
   /** Time limit of a control call to a worker, in ms. */
   readonly workerTimeoutMs: number;
+  /** Time for which finished jobs and their results are kept, in ms. */
+  readonly jobRetentionMs?: number;
 }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -83,6 +83,8 @@
   readonly seeds?: readonly Member[];
   /** Time that a claim of an idempotency key is kept at least, in ms. */
   readonly claimRetentionMs?: number;
+  /** Time for which finished jobs are kept, in ms. */
+  readonly jobRetentionMs?: number;
 }
 
 /** Least wait for the first byte of an idempotent request's answer. */
@@ -152,6 +154,7 @@
     view,
     configuration,
     leadership,
+    jobRetentionMs: options.jobRetentionMs,
   });
   const claims = createClaims({
     system,
--- a/src/wiring/pool_leaders.ts
+++ b/src/wiring/pool_leaders.ts
@@ -25,6 +25,8 @@
   readonly configuration: ConfigurationActor;
   readonly leadership: LeadershipActor;
   readonly lenders: SlotLenders;
+  /** Time for which finished jobs are kept, in ms. */
+  readonly jobRetentionMs?: number;
 }
 
 interface Led {
@@ -70,6 +72,7 @@
       getHosts,
       slots,
       getProfile,
+      retentionMs: options.jobRetentionMs,
       getNextDrains: () => {
         const profile = getProfile();
         return new Set(profile ? findHostsInLine(view, profile) : []);
