--- a/features/fleet/waves.feature
+++ b/features/fleet/waves.feature
@@ -76,3 +76,9 @@
     When a fleet wave over "sky-lookup" is planned
     Then the fleet plan covers 8 hosts and its lower bound is 480 seconds
     And no wave has been declared
+
+  Scenario: Many overlapping waves share reboots and are forgotten in the end
+    When 60 fleet waves over host "sky-lookup-1" are declared at once
+    Then within 60 seconds at most 50 wave records are left, all done
+    And host "sky-lookup-1" rebooted at most 2 times
+    And host "sky-lookup-1" remembers no more waves than are open
--- a/features/fleet/waves.steps.ts
+++ b/features/fleet/waves.steps.ts
@@ -12,6 +12,7 @@
 import {advance, advanceUntil, settle} from '../support/paused_clock';
 import {
   createFleet,
+  findWorker,
   getFleet,
   listWorkers,
   readAssigned,
@@ -360,3 +361,47 @@
 Then('no wave has been declared', () => {
   assert.equal(getFleet().site.keyValue.list('waves/').entries.length, 0);
 });
+
+When(
+  '{int} fleet waves over host {string} are declared at once',
+  async (count: number, hostId: string) => {
+    const numbers = Array.from({length: count}, (_, i) => i);
+    await Promise.all(
+      numbers.map(i => declare(i % 3, SelectorKind.Host, hostId)),
+    );
+  },
+);
+
+Then(
+  'within {int} seconds at most {int} wave records are left, all done',
+  (seconds: number, limit: number) =>
+    advanceUntil(
+      () => {
+        const {entries} = getFleet().site.keyValue.list('waves/');
+        const left = entries.map(({value}) => JSON.parse(value) as Wave);
+        if (left.length > limit) return false;
+        return left.every(({state}) => state === WaveState.Done);
+      },
+      seconds * 1_000,
+      STEP_MS,
+    ),
+);
+
+Then(
+  'host {string} rebooted at most {int} times',
+  (hostId: string, times: number) => {
+    const {bootNumber} = findWorker(hostId).report();
+    assert.ok(bootNumber > 1 && bootNumber <= 1 + times, `${bootNumber}`);
+  },
+);
+
+Then(
+  'host {string} remembers no more waves than are open',
+  async (hostId: string) => {
+    await declare(0, SelectorKind.Host, hostId);
+    const {id} = waves[waves.length - 1];
+    await advanceUntil(() => readWave(id).state === WaveState.Done, 10_000);
+    const assigned = readAssigned('sky-lookup').find(a => a.hostId === hostId);
+    assert.deepEqual(assigned?.completedWaves, [id]);
+  },
+);
--- a/src/actors/fleet/host_upkeep.ts
+++ b/src/actors/fleet/host_upkeep.ts
@@ -1,4 +1,9 @@
-import {Observation, hasRebooted, isEmpty} from '../../decisions/fleet';
+import {
+  Observation,
+  coversHost,
+  hasRebooted,
+  isEmpty,
+} from '../../decisions/fleet';
 import {WriteOutcome} from '../../state';
 import {Telemetry} from '../../telemetry';
 import {
@@ -33,8 +38,6 @@
 /** Absence after which any other host is retired, in ms. */
 const RETIRE_MISSING_MS = 86_400_000;
 const NO_RETIREMENT = Infinity;
-/** Completed waves kept with a host. */
-const COMPLETED_LIMIT = 20;
 
 /** Creates the upkeep of a pool's assignments. */
 export function createHostUpkeep(options: HostUpkeepOptions): HostUpkeep {
@@ -133,9 +136,8 @@
     ({state}) => state === WaveState.Active || state === WaveState.Paused,
   );
   const satisfied = open.filter(
-    wave => wave.hostIds.includes(hostId) && wave.declaredAt <= rebootAt,
+    wave => coversHost(wave, hostId) && wave.declaredAt <= rebootAt,
   );
   const kept = completed.filter(id => open.some(wave => wave.id === id));
-  const all = new Set([...kept, ...satisfied.map(wave => wave.id)]);
-  return [...all].slice(-COMPLETED_LIMIT);
+  return [...new Set([...kept, ...satisfied.map(wave => wave.id)])];
 }
