--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -17,6 +17,5 @@
   path: runPathBench,
   requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
-  requests: runRequestsBench,
   scale: runScaleBench,
 };
