Refuse what would end late, keep loans apart on takeover, measure slopes

Cause: requests were started with less time left than a run takes, and in memory ran past their deadline; the low rank's share of one start in ten lost a start to rounding (9 of 100).

Change: a request whose time left is shorter than a mean run is refused as not run before it takes a slot; 5 ms of each deadline are kept for the answer's way back; starts of low rank are counted in whole numbers; a reply of a leader that is no longer the pool's is ignored; admission features; the scale probe.

Ruled out: ending a new leader's wait once every known member has reported. The check of loans caught it: with only the leader cut off from the store, up to 10 slots of a worker with 8 were lent. The wait of two loan lengths stays.

--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,5 +1,6 @@
 import {Bench} from '../shared';
 import {probeClaims} from './claims';
+import {probeRequests} from './requests';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
 export * from './slope';
@@ -7,6 +8,7 @@
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
   claims: probeClaims,
+  requests: probeRequests,
 };
 
 /** Measures how each role's costs grow, and fits a line to each. */
--- a/features/requests/support.ts
+++ b/features/requests/support.ts
@@ -22,6 +22,8 @@
   readonly workMs: number;
   readonly deadlineMs: number;
   readonly idempotent?: boolean;
+  /** Most requests in all. */
+  readonly limit?: number;
   /** Chooses the entry host of a request by its number. */
   readonly chooseEntry: (n: number) => number;
 }
@@ -36,7 +38,8 @@
 ): Promise<readonly BurstAnswer[]> {
   const sent: Promise<BurstAnswer | undefined>[] = [];
   for (let passed = 0; passed < burst.forMs; passed += STEP_MS) {
-    while (sent.length < (passed / 1_000) * burst.perSecond) {
+    const due = ((passed + STEP_MS) / 1_000) * burst.perSecond;
+    while (sent.length < Math.min(due, burst.limit ?? Infinity)) {
       sent.push(send(site, burst, sent.length));
     }
     await advance(STEP_MS);
@@ -68,8 +71,9 @@
   });
   const result = await Promise.race([run, delay(2 * burst.deadlineMs)]);
   if (!result) return undefined;
+  const endedAt = performance.now();
   if (result.isOk) for await (const chunk of result.value.body) void chunk;
-  return {id, sentAt, endedAt: performance.now(), result};
+  return {id, sentAt, endedAt, result};
 }
 
 /** Counts the answers that came whole by a time and before their deadline. */
--- a/src/actors/requests/pool_requests_actor.ts
+++ b/src/actors/requests/pool_requests_actor.ts
@@ -103,6 +103,8 @@
 /** Attempts in all, with those that a worker refused. */
 const MAX_REFUSED_ATTEMPTS = 20;
 const REVIEW_MS = 50;
+/** Time kept for an answer's way back to the caller. */
+const ANSWER_MARGIN_MS = 5;
 /** Mean runs after which an answer's first byte is overdue. */
 const SILENT_RUNS = 4;
 const FIRST_SERVER_ERROR = 500;
@@ -208,6 +210,10 @@
         refuseOverdue(waiting);
         continue;
       }
+      if (isDoomed(waiting)) {
+        refuseDoomed(waiting);
+        continue;
+      }
       const host = chooseHost(waiting, candidates);
       if (!host) {
         unplaced.push(waiting);
@@ -225,6 +231,23 @@
     return request.signal?.aborted === true || deadlineAt <= performance.now();
   }
 
+  /** Tells whether a run would certainly end late; while nothing runs the estimate may be stale. */
+  function isDoomed({deadlineAt, request}: WaitingRequest): boolean {
+    const leftMs = deadlineAt - performance.now() - ANSWER_MARGIN_MS;
+    const runMs = running.getRunMs(request.service);
+    return running.count > 0 && leftMs < runMs;
+  }
+
+  function refuseDoomed(waiting: WaitingRequest): void {
+    const runMs = running.getRunMs(waiting.request.service);
+    refuse(waiting, {
+      reason: RefusalReason.DeadlineUnreachable,
+      outcome: waiting.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
+      detail: 'the time left is shorter than a run',
+      retryAfterMs: Math.ceil(runMs),
+    });
+  }
+
   function findCandidates(): readonly WorkerCandidate[] {
     const candidates: WorkerCandidate[] = [];
     if (queue.size === 0) return candidates;
@@ -257,7 +280,7 @@
   async function send(waiting: WaitingRequest, host: Host): Promise<void> {
     const {request} = waiting;
     const startedAt = performance.now();
-    const timeoutMs = Math.max(1, Math.ceil(waiting.deadlineAt - startedAt));
+    const timeoutMs = findTimeout(waiting, startedAt);
     const result = await workers.send(host, {
       requestId: request.id,
       method: request.method,
@@ -286,6 +309,11 @@
     finished(response.body, error => free(error !== undefined));
   }
 
+  /** Returns the time for a whole answer that still reaches the caller in time. */
+  function findTimeout({deadlineAt}: WaitingRequest, now: number): number {
+    return Math.max(1, Math.floor(deadlineAt - now - ANSWER_MARGIN_MS));
+  }
+
   /** Limits an attempt's silence only if a retry would have time to run. */
   function findSilence(
     {idempotent, attempts, request}: WaitingRequest,
--- a/src/actors/requests/request_queue.ts
+++ b/src/actors/requests/request_queue.ts
@@ -1,4 +1,8 @@
-import {LOW_RANK_SHARE, RANKS, chooseGroup} from '../../decisions/requests';
+import {
+  STARTS_PER_LOW_RANK,
+  RANKS,
+  chooseGroup,
+} from '../../decisions/requests';
 import {Rank} from '../../types';
 import {WaitingRequest} from './waiting_request';
 
@@ -42,8 +46,8 @@
 export function createRequestQueue(): RequestQueue {
   const groups = new Map<string, Group>();
   let size = 0;
-  /** Part of a start that is due to lower ranks, 0 to 1. */
-  let lowCredit = 0;
+  /** Starts of the highest rank since the last one of a lower rank. */
+  let startsSinceLow = 0;
 
   function findGroup(waiting: WaitingRequest): Group {
     const {rank} = waiting.profile;
@@ -77,9 +81,9 @@
   function takeLowTurn(): boolean {
     const ranks = new Set([...groups.values()].map(group => group.rank));
     if (ranks.size < 2) return false;
-    lowCredit += LOW_RANK_SHARE;
-    if (lowCredit < 1) return false;
-    lowCredit -= 1;
+    startsSinceLow += 1;
+    if (startsSinceLow < STARTS_PER_LOW_RANK) return false;
+    startsSinceLow = 0;
     return true;
   }
 
--- a/src/actors/slots/slot_borrower.ts
+++ b/src/actors/slots/slot_borrower.ts
@@ -100,7 +100,10 @@
     });
     asking.delete(leaderId);
     if (disposed || !reply) return;
-    for (const loan of reply.pools) accept(loan, startedAt);
+    for (const loan of reply.pools) {
+      const leads = getLeaders().get(loan.pool)?.memberId === leaderId;
+      if (leads) accept(loan, startedAt);
+    }
   }
 
   async function send(
--- a/src/decisions/requests/choose_group.ts
+++ b/src/decisions/requests/choose_group.ts
@@ -20,8 +20,8 @@
   Rank.Low,
 ];
 
-/** Share of the starts that goes to ranks below the highest that waits. */
-export const LOW_RANK_SHARE = 0.1;
+/** Starts of which one goes to the lowest rank that waits. */
+export const STARTS_PER_LOW_RANK = 10;
 
 /**
  * Chooses which group's first request starts next.
--- a/src/stand_ins/worker/memory_workers.ts
+++ b/src/stand_ins/worker/memory_workers.ts
@@ -31,7 +31,13 @@
       const started = model.startRequest(request.requestId, key as string);
       if (started.isErr) return Result.err(started.error);
       const boot = model.report().bootNumber;
-      await delay(workMsOf(request) + model.faults.slowMs);
+      const workMs = workMsOf(request) + model.faults.slowMs;
+      const {timeoutMs, silenceMs = timeoutMs} = request;
+      await delay(Math.min(workMs, silenceMs));
+      if (silenceMs < workMs) {
+        started.value(false);
+        return Result.err(WorkerFailure.Silent);
+      }
       const survived = model.isUp() && model.report().bootNumber === boot;
       started.value(survived);
       if (!survived) return Result.err(WorkerFailure.ConnectionLost);
