--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,5 +1,8 @@
 import {Bench} from '../shared';
+import {probeJobs} from './jobs';
+import {probeFleet} from './fleet';
 import {probeClaims} from './claims';
+import {probeControl} from './control';
 import {probeRequests} from './requests';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
@@ -7,7 +10,10 @@
 
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
+  jobs: probeJobs,
+  fleet: probeFleet,
   claims: probeClaims,
+  control: probeControl,
   requests: probeRequests,
 };
 
--- a/src/actors/membership/relay/follow_member.ts
+++ b/src/actors/membership/relay/follow_member.ts
@@ -23,7 +23,8 @@
 
 const WATCH_WAIT_MS = 2_000;
 const ANSWER_MS = 1_000;
-const REARM_MS = 50;
+/** Least time between two watches, so that changes come in batches. */
+const REARM_MS = 250;
 /** Age of the content from which another source is looked for. */
 export const STALE_MS = 10_000;
 
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -1,5 +1,6 @@
+import {createHash} from 'node:crypto';
 import {IncomingMessage, ServerResponse, createServer} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {Store, StoreFailure, Swap} from '../../ports';
 import {readJson, sendJson} from '../../http/shared';
 import {Host} from '../../types';
@@ -52,14 +53,24 @@
     calls[kind] += 1;
   });
   const hosts = new Map<string, Host>();
+  const sockets = new Set<Socket>();
+  const silent = new WeakSet<Socket>();
+
+  function silenceConnections(except: Socket): void {
+    for (const socket of sockets) {
+      if (socket !== except) silent.add(socket);
+    }
+    faults.silentConnections = false;
+  }
 
   async function route(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (silent.has(request.socket)) return;
     const path = request.url ?? '/';
     if (path === '/hosts' && request.method === 'GET') {
-      return sendJson(response, 200, [...hosts.values()]);
+      return sendHosts(request, response, [...hosts.values()]);
     }
     const body = await readJson<unknown>(request, 2 * MAX_VALUE_BYTES);
     if (path === '/hosts') return registerHost(body as Host, response);
@@ -69,6 +80,7 @@
     }
     if (path === '/faults') {
       Object.assign(faults, body);
+      if (faults.silentConnections) silenceConnections(request.socket);
       return sendJson(response, 200, faults);
     }
     if (path === '/calls') return sendJson(response, 200, calls);
@@ -93,6 +105,10 @@
       else sendJson(response, 400, {error: error.message});
     });
   });
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
   await new Promise<void>(resolve => server.listen(port, address, resolve));
 
   return {
@@ -108,6 +124,22 @@
   };
 }
 
+/** Sends the list, or only that it is the one the client has. */
+function sendHosts(
+  request: IncomingMessage,
+  response: ServerResponse,
+  hosts: readonly Host[],
+): void {
+  const digest = createHash('sha1').update(JSON.stringify(hosts)).digest('hex');
+  const tag = `"${digest}"`;
+  response.setHeader('etag', tag);
+  if (request.headers['if-none-match'] !== tag) {
+    return sendJson(response, 200, hosts);
+  }
+  response.writeHead(304);
+  response.end();
+}
+
 async function answerStoreCall(
   store: Store,
   path: string,
@@ -115,7 +147,7 @@
   response: ServerResponse,
 ): Promise<void> {
   const answer = await makeStoreCall(store, path, call);
-  if (!answer) return sendJson(response, 404, {error: `no call ${path}`});
+  if (!answer) return sendJson(response, 404, {error: `bad call ${path}`});
   if (answer.isOk) return sendJson(response, 200, {value: answer.value});
   if (answer.error === StoreFailure.Unreachable) {
     return sendJson(response, 503, {error: answer.error});
@@ -126,7 +158,10 @@
 function makeStoreCall(store: Store, path: string, call: StoreCall) {
   if (path === '/kv/get') return store.get(call.key ?? '');
   if (path === '/kv/list') return store.list(call.prefix ?? '');
-  if (path === '/kv/swap' && call.swap) return store.swap(call.swap);
+  if (path === '/kv/swap' && call.swap) {
+    const length = Buffer.byteLength(call.swap.value ?? '');
+    return length > MAX_VALUE_BYTES ? undefined : store.swap(call.swap);
+  }
   if (path === '/kv/watch') {
     return store.watch(call.prefix ?? '', call.after ?? 0, call.waitMs ?? 0);
   }
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -235,7 +235,7 @@
     }),
     leadership,
     view,
-    waves: createWaves(store, view, getProfiles),
+    waves: createWaves({store, view, telemetry, getProfiles}),
     hosts: createHostCalls(store, view, self.id, getProfiles),
     jobs: createJobCalls({
       store,
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -1,8 +1,10 @@
 import {createGrpcCredentials, createGrpcPeerServer} from '../adapters/peer';
 import {createCallersHandle} from '../http/callers';
 import {
+  createHostRoutes,
   createJobReleaseRoutes,
   createOperatorsHandle,
+  createPageRoutes,
   createProfileRoutes,
   createStatusRoutes,
   createWaveRoutes,
@@ -91,6 +93,8 @@
       [
         ...createProfileRoutes(core),
         ...createWaveRoutes(core.waves),
+        ...createHostRoutes(core.hosts),
+        ...createPageRoutes({...core, telemetry}),
         ...createJobReleaseRoutes(core.jobs),
         ...createStatusRoutes({...core, telemetry}),
       ],
