--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -3,6 +3,7 @@
 import {probeFleet} from './fleet';
 import {probeClaims} from './claims';
 import {probeControl} from './control';
+import {probeRequests} from './requests';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
 export * from './slope';
@@ -13,6 +14,7 @@
   fleet: probeFleet,
   claims: probeClaims,
   control: probeControl,
+  requests: probeRequests,
 };
 
 /** Measures how each role's costs grow, and fits a line to each. */
