Split the request actor; hold more slots in quiet pools; be ready with slots only

The scenario with two teams ran two bursts that each advanced the one paused clock, so that its flood came at half the stated rate; the bursts now share the steps, and the scenario checks the same at the stated rate.

--- a/bench/report/main.ts
+++ b/bench/report/main.ts
@@ -3,6 +3,7 @@
 import {parseArgs} from 'node:util';
 import {BENCHES} from '../benches';
 import {BenchReport} from '../shared';
+import {writeSlopes} from './capacity';
 import {createHtml, createMarkdown} from './pages';
 import {Round, RoundFailure, readLastRound, writeRound} from './round';
 
@@ -34,6 +35,7 @@
   failures,
 };
 writeRound(round);
+writeSlopes(round);
 writeFileSync('reports/latest.md', createMarkdown(round, before));
 writeFileSync('reports/latest.html', createHtml(round, before));
 const measures = reports.flatMap(report => report.measures);
--- a/features/requests/admission.steps.ts
+++ b/features/requests/admission.steps.ts
@@ -11,7 +11,7 @@
   createMemorySite,
 } from '../support/memory_site';
 import {advance} from '../support/paused_clock';
-import {Burst, BurstAnswer, runBurst} from './support';
+import {Burst, BurstAnswer, runBurst, runBursts} from './support';
 
 const POOL = 'planner-api';
 const SETTLE_MS = 4_000;
@@ -92,9 +92,9 @@
   'team {string} floods the pool and team {string} asks now and then',
   async (north: string, south: string) => {
     const flood = {...createBurst(100, 1_000), forMs: 2_000};
-    [answers, others] = await Promise.all([
-      runBurst(site, {...flood, team: north, perSecond: 1_500}),
-      runBurst(site, {...flood, team: south, perSecond: 50}),
+    [answers, others] = await runBursts(site, [
+      {...flood, team: north, perSecond: 1_500},
+      {...flood, team: south, perSecond: 50},
     ]);
   },
 );
--- a/features/requests/support.ts
+++ b/features/requests/support.ts
@@ -36,17 +36,41 @@
   burst: Burst,
   onStep: () => void = () => {},
 ): Promise<readonly BurstAnswer[]> {
-  const sent: Promise<BurstAnswer | undefined>[] = [];
-  for (let passed = 0; passed < burst.forMs; passed += STEP_MS) {
-    const due = ((passed + STEP_MS) / 1_000) * burst.perSecond;
-    while (sent.length < Math.min(due, burst.limit ?? Infinity)) {
-      sent.push(send(site, burst, sent.length));
-    }
+  const [answers] = await runBursts(site, [burst], onStep);
+  return answers;
+}
+
+/** Sends bursts side by side on the paused clock; returns the answers of each. */
+export async function runBursts(
+  site: MemorySite,
+  bursts: readonly Burst[],
+  onStep: () => void = () => {},
+): Promise<readonly (readonly BurstAnswer[])[]> {
+  const sent = bursts.map(() => [] as Promise<BurstAnswer | undefined>[]);
+  const longestMs = Math.max(...bursts.map(burst => burst.forMs));
+  for (let passed = 0; passed < longestMs; passed += STEP_MS) {
+    bursts.forEach((burst, i) => sendDue(site, burst, passed, sent[i]));
     await advance(STEP_MS);
     onStep();
   }
-  const all = await settle(Promise.all(sent));
-  return all.filter(answer => answer !== undefined);
+  const all = sent.map(async known => {
+    const answers = await Promise.all(known);
+    return answers.filter(answer => answer !== undefined);
+  });
+  return settle(Promise.all(all));
+}
+
+function sendDue(
+  site: MemorySite,
+  burst: Burst,
+  passedMs: number,
+  sent: Promise<BurstAnswer | undefined>[],
+): void {
+  if (passedMs >= burst.forMs) return;
+  const due = ((passedMs + STEP_MS) / 1_000) * burst.perSecond;
+  while (sent.length < Math.min(due, burst.limit ?? Infinity)) {
+    sent.push(send(site, burst, sent.length));
+  }
 }
 
 /** Sends one request; undefined if its entry host crashed before it answered. */
--- a/src/actors/requests/pool_requests_actor.ts
+++ b/src/actors/requests/pool_requests_actor.ts
@@ -2,15 +2,13 @@
 import {finished} from 'node:stream';
 import {Result} from 'true-myth';
 import {
-  RetryBudget,
   WorkerCandidate,
-  createRetryBudget,
   findAdmissionRefusal,
   findRetryReason,
   findSlotNeed,
   outcomeOf,
 } from '../../decisions/requests';
-import {Workers, WorkerFailure, WorkerResponse} from '../../ports';
+import {Workers, WorkerFailure} from '../../ports';
 import {Telemetry} from '../../telemetry';
 import {
   DecisionKind,
@@ -28,7 +26,15 @@
 import {createDemandMeter} from './demand_meter';
 import {InteractiveRequest} from './interactive_request';
 import {Refusal} from './refusal';
+import {
+  findAttemptSilence,
+  findAttemptTimeout,
+  findRunTime,
+} from './attempt_times';
+import {RequestMessage, RequestMessageKind} from './request_message';
 import {createRequestQueue, teamWeight} from './request_queue';
+import {createRequestRefuser} from './request_refuser';
+import {createRequestRetrier} from './request_retrier';
 import {createRunning} from './running';
 import {SlotSharing} from './slot_sharing';
 import {WaitingRequest} from './waiting_request';
@@ -65,48 +71,7 @@
   readonly sharing: SlotSharing;
 }
 
-enum MessageKind {
-  Submit,
-  Answered,
-  Freed,
-  Failed,
-  Review,
-}
-
-type Message =
-  | {readonly kind: MessageKind.Submit; readonly waiting: WaitingRequest}
-  | {
-      readonly kind: MessageKind.Answered;
-      readonly waiting: WaitingRequest;
-      readonly host: Host;
-      readonly response: WorkerResponse;
-      readonly startedAt: number;
-    }
-  | {
-      readonly kind: MessageKind.Freed;
-      readonly waiting: WaitingRequest;
-      readonly host: Host;
-      readonly startedAt: number;
-      /** True if the answer's body was cut short. */
-      readonly cut: boolean;
-    }
-  | {
-      readonly kind: MessageKind.Failed;
-      readonly host: Host;
-      readonly waiting: WaitingRequest;
-      readonly failure: WorkerFailure;
-    }
-  | {readonly kind: MessageKind.Review};
-
-/** Attempts of which each may have been run. */
-const MAX_ATTEMPTS = 3;
-/** Attempts in all, with those that a worker refused. */
-const MAX_REFUSED_ATTEMPTS = 20;
 const REVIEW_MS = 50;
-/** Time kept for an answer's way back to the caller. */
-const ANSWER_MARGIN_MS = 5;
-/** Mean runs after which an answer's first byte is overdue. */
-const SILENT_RUNS = 4;
 const FIRST_SERVER_ERROR = 500;
 
 /** Creates the actor that queues and dispatches a pool's requests at one entry host. */
@@ -118,11 +83,15 @@
   const running = createRunning();
   const records = createWorkerRecords();
   const meter = createDemandMeter();
-  const budgets = new Map<string, RetryBudget>();
+  const {refuse, refuseOverdue, refuseDoomed} = createRequestRefuser(
+    telemetry,
+    pool,
+  );
+  const retrier = createRequestRetrier(telemetry, pool, queue);
   let hosts: readonly PoolHost[] = [];
   let hostsById: ReadonlyMap<string, PoolHost> = new Map();
 
-  const actor: Actor<Message> = createActor<undefined, Message>({
+  const actor: Actor<RequestMessage> = createActor<undefined, RequestMessage>({
     system,
     name: `requests-${pool}`,
     initial: undefined,
@@ -136,17 +105,17 @@
     },
   });
 
-  function handle(message: Message): void {
+  function handle(message: RequestMessage): void {
     switch (message.kind) {
-      case MessageKind.Submit:
+      case RequestMessageKind.Submit:
         return submit(message.waiting);
-      case MessageKind.Answered:
+      case RequestMessageKind.Answered:
         return answer(message);
-      case MessageKind.Freed:
+      case RequestMessageKind.Freed:
         return free(message);
-      case MessageKind.Failed:
+      case RequestMessageKind.Failed:
         return fail(message.waiting, message.host, message.failure);
-      case MessageKind.Review:
+      case RequestMessageKind.Review:
         return dropOverdue();
     }
   }
@@ -192,14 +161,6 @@
     for (const waiting of overdue) refuseOverdue(waiting);
   }
 
-  function refuseOverdue(waiting: WaitingRequest): void {
-    refuse(waiting, {
-      reason: RefusalReason.DeadlinePassed,
-      outcome: waiting.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-      detail: 'no slot came free before the deadline',
-    });
-  }
-
   function dispatchQueue(): void {
     let candidates = findCandidates();
     const unplaced: WaitingRequest[] = [];
@@ -211,7 +172,7 @@
         continue;
       }
       if (isDoomed(waiting)) {
-        refuseDoomed(waiting);
+        refuseDoomed(waiting, running.getRunMs(waiting.request.service));
         continue;
       }
       const host = chooseHost(waiting, candidates);
@@ -233,21 +194,11 @@
 
   /** Tells whether a run would certainly end late; while nothing runs the estimate may be stale. */
   function isDoomed({deadlineAt, request}: WaitingRequest): boolean {
-    const leftMs = deadlineAt - performance.now() - ANSWER_MARGIN_MS;
+    const leftMs = findRunTime(deadlineAt, performance.now());
     const runMs = running.getRunMs(request.service);
     return running.count > 0 && leftMs < runMs;
   }
 
-  function refuseDoomed(waiting: WaitingRequest): void {
-    const runMs = running.getRunMs(waiting.request.service);
-    refuse(waiting, {
-      reason: RefusalReason.DeadlineUnreachable,
-      outcome: waiting.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-      detail: 'the time left is shorter than a run',
-      retryAfterMs: Math.ceil(runMs),
-    });
-  }
-
   function findCandidates(): readonly WorkerCandidate[] {
     const candidates: WorkerCandidate[] = [];
     if (queue.size === 0) return candidates;
@@ -280,7 +231,8 @@
   async function send(waiting: WaitingRequest, host: Host): Promise<void> {
     const {request} = waiting;
     const startedAt = performance.now();
-    const timeoutMs = findTimeout(waiting, startedAt);
+    const timeoutMs = findAttemptTimeout(waiting, startedAt);
+    const runMs = running.getRunMs(request.service);
     const result = await workers.send(host, {
       requestId: request.id,
       method: request.method,
@@ -291,59 +243,50 @@
       },
       body: request.body,
       timeoutMs,
-      silenceMs: findSilence(waiting, timeoutMs),
+      silenceMs: findAttemptSilence(
+        waiting,
+        timeoutMs,
+        runMs,
+        options.silenceMs,
+      ),
       freshConnection: waiting.freshConnection || !waiting.idempotent,
       signal: request.signal,
     });
     if (result.isErr) {
       const failure = result.error;
-      actor.tell({kind: MessageKind.Failed, host, waiting, failure});
+      actor.tell({kind: RequestMessageKind.Failed, host, waiting, failure});
       return;
     }
     const response = result.value;
     const answered = {host, waiting, startedAt};
-    actor.tell({kind: MessageKind.Answered, response, ...answered});
+    actor.tell({kind: RequestMessageKind.Answered, response, ...answered});
     const free = (cut: boolean) =>
-      actor.tell({kind: MessageKind.Freed, cut, ...answered});
+      actor.tell({kind: RequestMessageKind.Freed, cut, ...answered});
     if (response.whole) return free(false);
     finished(response.body, error => free(error !== undefined));
   }
 
-  /** Returns the time for a whole answer that still reaches the caller in time. */
-  function findTimeout({deadlineAt}: WaitingRequest, now: number): number {
-    return Math.max(1, Math.floor(deadlineAt - now - ANSWER_MARGIN_MS));
-  }
-
-  /** Limits an attempt's silence only if a retry would have time to run. */
-  function findSilence(
-    {idempotent, attempts, request}: WaitingRequest,
-    timeoutMs: number,
-  ): number | undefined {
-    if (!idempotent || attempts + 1 >= MAX_ATTEMPTS) return undefined;
-    const runMs = running.getRunMs(request.service);
-    const silenceMs = Math.max(options.silenceMs, SILENT_RUNS * runMs);
-    return silenceMs + runMs < timeoutMs ? silenceMs : undefined;
-  }
-
   function answer(
-    message: Extract<Message, {kind: MessageKind.Answered}>,
+    message: Extract<RequestMessage, {kind: RequestMessageKind.Answered}>,
   ): void {
     const {waiting, host, response, startedAt} = message;
     const {service} = waiting.request;
     if (response.status < FIRST_SERVER_ERROR) {
       records.noteSuccess(host.id, performance.now() - startedAt);
-      getBudget(service).succeed();
+      retrier.noteSuccess(service);
     } else {
       noteFailure(host, undefined);
-      if (mayRetry(waiting) && getBudget(service).take()) {
+      if (retrier.takeRerun(waiting)) {
         response.body.destroy();
-        return retry(waiting, host, RetryReason.WorkerFailed, true);
+        return retrier.retry(waiting, host, RetryReason.WorkerFailed, true);
       }
     }
     waiting.settle(Result.ok({...response, hostId: host.id}));
   }
 
-  function free(message: Extract<Message, {kind: MessageKind.Freed}>): void {
+  function free(
+    message: Extract<RequestMessage, {kind: RequestMessageKind.Freed}>,
+  ): void {
     const {waiting, host, startedAt, cut} = message;
     running.end(waiting, host.id);
     if (cut) return;
@@ -359,8 +302,8 @@
     noteFailure(host, failure);
     const ran = outcomeOf(failure) !== Outcome.NotRun;
     const reason = findRetryReason(failure, waiting.idempotent);
-    if (reason && isWorthRetrying(waiting, ran)) {
-      return retry(waiting, host, reason, ran);
+    if (reason && !isTooLate(waiting) && retrier.takeRetry(waiting, ran)) {
+      return retrier.retry(waiting, host, reason, ran);
     }
     const late = waiting.deadlineAt <= performance.now();
     const mayHaveRun = waiting.mayHaveRun || ran;
@@ -373,44 +316,6 @@
     });
   }
 
-  function isWorthRetrying(waiting: WaitingRequest, ran: boolean): boolean {
-    if (isTooLate(waiting)) return false;
-    if (!ran) return waiting.attempts + 1 < MAX_REFUSED_ATTEMPTS;
-    return mayRetry(waiting) && getBudget(waiting.request.service).take();
-  }
-
-  function mayRetry({idempotent, attempts}: WaitingRequest): boolean {
-    return idempotent && attempts + 1 < MAX_ATTEMPTS;
-  }
-
-  function retry(
-    waiting: WaitingRequest,
-    host: Host,
-    reason: RetryReason,
-    ran: boolean,
-  ): void {
-    const {request} = waiting;
-    telemetry.retried(request.service, reason);
-    telemetry.decide({
-      kind: DecisionKind.Retry,
-      subject: request.id,
-      pool,
-      cause: `${host.id}: ${reason}`,
-      inputs: {attempts: waiting.attempts + 1, mayHaveRun: ran},
-    });
-    const busy = reason === RetryReason.WorkerBusy;
-    queue.add({
-      ...waiting,
-      attempts: waiting.attempts + 1,
-      mayHaveRun: waiting.mayHaveRun || ran,
-      freshConnection: waiting.freshConnection || ran,
-      triedHosts: busy ? waiting.triedHosts : [...waiting.triedHosts, host.id],
-      triedRacks: busy
-        ? waiting.triedRacks
-        : [...waiting.triedRacks, host.rack],
-    });
-  }
-
   function noteFailure(host: Host, failure: WorkerFailure | undefined): void {
     if (!records.noteFailure(host.id, failure, countEjectable())) return;
     telemetry.decide({
@@ -428,33 +333,8 @@
     return options.getMaxUnavailable() - unavailable;
   }
 
-  function getBudget(service: string): RetryBudget {
-    const known = budgets.get(service);
-    if (known) return known;
-    const created = createRetryBudget();
-    budgets.set(service, created);
-    return created;
-  }
-
-  function refuse(waiting: WaitingRequest, refusal: Refusal): void {
-    const {request} = waiting;
-    telemetry.refused(request.service, refusal.reason);
-    telemetry.decide({
-      kind: DecisionKind.Refuse,
-      subject: request.id,
-      pool,
-      cause: `${refusal.reason}: ${refusal.detail}`,
-      inputs: {
-        reason: refusal.reason,
-        outcome: refusal.outcome,
-        attempts: waiting.attempts,
-      },
-    });
-    waiting.settle(Result.err(refusal));
-  }
-
   const timer = setInterval(
-    () => actor.tell({kind: MessageKind.Review}),
+    () => actor.tell({kind: RequestMessageKind.Review}),
     REVIEW_MS,
   );
 
@@ -463,7 +343,7 @@
       new Promise(settle => {
         const timeMs = request.deadlineMs ?? profile.deadlineMs;
         actor.tell({
-          kind: MessageKind.Submit,
+          kind: RequestMessageKind.Submit,
           waiting: {
             request,
             profile,
@@ -485,7 +365,7 @@
       const need = findSlotNeed(meanRunning, queue.size, runMs);
       return {demand: peak, need, used: running.getHosts()};
     },
-    review: () => actor.tell({kind: MessageKind.Review}),
+    review: () => actor.tell({kind: RequestMessageKind.Review}),
     dispose() {
       clearInterval(timer);
       actor.dispose();
--- /dev/null
+++ b/src/actors/requests/request_message.ts
@@ -0,0 +1,38 @@
+import {WorkerFailure, WorkerResponse} from '../../ports';
+import {Host} from '../../types';
+import {WaitingRequest} from './waiting_request';
+
+/** Kinds of messages to a pool's request actor. */
+export enum RequestMessageKind {
+  Submit,
+  Answered,
+  Freed,
+  Failed,
+  Review,
+}
+
+/** A message to a pool's request actor. */
+export type RequestMessage =
+  | {readonly kind: RequestMessageKind.Submit; readonly waiting: WaitingRequest}
+  | {
+      readonly kind: RequestMessageKind.Answered;
+      readonly waiting: WaitingRequest;
+      readonly host: Host;
+      readonly response: WorkerResponse;
+      readonly startedAt: number;
+    }
+  | {
+      readonly kind: RequestMessageKind.Freed;
+      readonly waiting: WaitingRequest;
+      readonly host: Host;
+      readonly startedAt: number;
+      /** True if the answer's body was cut short. */
+      readonly cut: boolean;
+    }
+  | {
+      readonly kind: RequestMessageKind.Failed;
+      readonly host: Host;
+      readonly waiting: WaitingRequest;
+      readonly failure: WorkerFailure;
+    }
+  | {readonly kind: RequestMessageKind.Review};
--- a/src/actors/slots/pool_slots.ts
+++ b/src/actors/slots/pool_slots.ts
@@ -55,8 +55,15 @@
   readonly slots: number;
 }
 
-/** Slots lent beyond the demand, so that a lone request needn't wait for a report. */
+/** Slots lent beyond the demand at least, so that a lone request needn't wait for a report. */
 const HEADROOM_SLOTS = 2;
+/**
+ * Part of its fair share that an idle borrower holds while no long work waits.
+ *
+ * A leader that has just taken over lends nothing new for TAKEOVER_MS; until
+ * then an entry host starts requests in what it holds.
+ */
+const HEADROOM_PART = 0.5;
 /** Time after a refused reservation during which idle borrowers get no headroom. */
 const LONG_WORK_WAITS_MS = 1_000;
 /** Time for which requests of a silent borrower are taken to run on after its loan. */
@@ -139,7 +146,8 @@
     const now = performance.now();
     const live = [...borrowers].filter(([, record]) => now < record.endsAt);
     const needs = live.map(([, {demand, need}]) => ({peak: demand, need}));
-    const shares = shareByNeed(capacity, needs, findHeadroom());
+    const headroom = findHeadroom(capacity / live.length);
+    const shares = shareByNeed(capacity, needs, headroom);
     const deficits = live.map(([, record], i) =>
       Math.max(0, shares[i] - countSlots(record.held)),
     );
@@ -149,9 +157,10 @@
     return Math.min(shares[index], held + limitGrowth(free, deficits, index));
   }
 
-  function findHeadroom(): number {
+  function findHeadroom(fairShare: number): number {
     const sinceMs = performance.now() - reservationRefusedAt;
-    return sinceMs < LONG_WORK_WAITS_MS ? 0 : HEADROOM_SLOTS;
+    if (sinceMs < LONG_WORK_WAITS_MS) return 0;
+    return Math.max(HEADROOM_SLOTS, Math.floor(fairShare * HEADROOM_PART));
   }
 
   function lendable(
--- a/src/actors/slots/slot_borrower.ts
+++ b/src/actors/slots/slot_borrower.ts
@@ -40,7 +40,7 @@
 
 const REPORT_MS = 100;
 /** Time between reports about a pool that nobody asks for. */
-const IDLE_REPORT_MS = 400;
+const IDLE_REPORT_MS = 800;
 /** Least time between two reports to a leader. */
 const HURRY_MS = 10;
 const CALL_TIMEOUT_MS = 300;
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -44,6 +44,7 @@
 import {Loan, Member} from '../types';
 import {Outside} from './outside';
 import {createPoolLeaders} from './pool_leaders';
+import {createSlotReadiness} from './slot_readiness';
 
 /** An entry host's actors without its listeners. */
 export interface Core {
@@ -184,6 +185,13 @@
       }),
     onChange: pool => routed.review(pool),
   });
+  const sharing = createSlotSharing({
+    kind: slotPolicy,
+    memberId: self.id,
+    getHosts: poolHosts.get,
+    getMembers,
+    borrower,
+  });
   const routed = createRequests({
     system,
     workers: createSingleUseWorkers(workers),
@@ -192,13 +200,13 @@
     getPoolHosts: poolHosts.get,
     availabilityZone: self.availabilityZone,
     silenceMs,
-    sharing: createSlotSharing({
-      kind: slotPolicy,
-      memberId: self.id,
-      getHosts: poolHosts.get,
-      getMembers,
-      borrower,
-    }),
+    sharing,
+  });
+  const slotReadiness = createSlotReadiness({
+    isSynced: view.assignments.synced.get,
+    getPools: () => listPools(configuration),
+    getPoolHosts: poolHosts.get,
+    getLoans: sharing.getLoans,
   });
   const requests = createClaimedRequests({
     requests: routed,
@@ -261,7 +269,8 @@
       configuration.current.get() !== undefined &&
       heartbeats.asked.get() &&
       view.hosts.get() !== undefined &&
-      membership.members.get().some(member => member.id === self.id),
+      membership.members.get().some(member => member.id === self.id) &&
+      slotReadiness.isReady(),
     async startStop() {
       stopping = true;
       await membership.startLeaving();
