--- a/src/actors/requests/pool_requests_actor.ts
+++ b/src/actors/requests/pool_requests_actor.ts
@@ -333,10 +333,9 @@
     return options.getMaxUnavailable() - unavailable;
   }
 
-  const timer = setInterval(
-    () => actor.tell({kind: RequestMessageKind.Review}),
-    REVIEW_MS,
-  );
+  const timer = setInterval(() => {
+    if (queue.size > 0) actor.tell({kind: RequestMessageKind.Review});
+  }, REVIEW_MS);
 
   return {
     run: (request, profile) =>
--- a/src/settings/setting_list.ts
+++ b/src/settings/setting_list.ts
@@ -193,6 +193,13 @@
     schema: timeout,
     defaultValue: 1_000,
   },
+  {
+    key: 'claimRetentionMs',
+    flag: 'claim-retention-ms',
+    describe: 'time for which idempotency keys and their outcomes are kept',
+    schema: retention,
+    defaultValue: 86_400_000,
+  },
   {
     key: 'jobRetentionMs',
     flag: 'job-retention-ms',
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -35,6 +35,8 @@
   readonly slotPolicy?: SlotPolicyKind;
   /** Time limit of a control call to a worker, in ms. */
   readonly workerTimeoutMs: number;
+  /** Time for which idempotency keys and their outcomes are kept, in ms. */
+  readonly claimRetentionMs?: number;
   /** Time for which finished jobs and their results are kept, in ms. */
   readonly jobRetentionMs?: number;
 }
--- a/src/wiring/entry.ts
+++ b/src/wiring/entry.ts
@@ -84,6 +84,7 @@
     telemetry,
     slotPolicy: settings.slotPolicy,
     silenceMs: settings.silenceMs,
+    claimRetentionMs: settings.claimRetentionMs,
     jobRetentionMs: settings.jobRetentionMs,
     seeds: (settings.seeds ?? []).map(readSeed),
   });
