--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -1,4 +1,5 @@
 import {runControlBench} from './control';
+import {runFleetBench} from './fleet';
 import {runPathBench} from './path';
 import {runAtMostOnceBench} from './requests/at_most_once';
 import {runPlannedStopBench} from './requests/planned_stop';
@@ -9,6 +10,7 @@
 export const BENCHES: Readonly<Record<string, Bench>> = {
   control: runControlBench,
   'at-most-once': runAtMostOnceBench,
+  fleet: runFleetBench,
   path: runPathBench,
   'planned-stop': runPlannedStopBench,
   scale: runScaleBench,
