--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -1,6 +1,7 @@
 import {runControlBench} from './control';
 import {runFleetBench} from './fleet';
 import {runPathBench} from './path';
+import {runRequestsBench} from './requests';
 import {runAtMostOnceBench} from './requests/at_most_once';
 import {runPlannedStopBench} from './requests/planned_stop';
 import {runScaleBench} from './scale';
@@ -12,6 +13,7 @@
   'at-most-once': runAtMostOnceBench,
   fleet: runFleetBench,
   path: runPathBench,
+  requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
   scale: runScaleBench,
 };
--- a/src/actors/slots/pool_slots.ts
+++ b/src/actors/slots/pool_slots.ts
@@ -1,4 +1,9 @@
-import {LendableHost, adjustLoan, shareFairly} from '../../decisions/slots';
+import {
+  LendableHost,
+  adjustLoan,
+  limitGrowth,
+  shareByNeed,
+} from '../../decisions/slots';
 import {splitStatically} from '../../decisions/requests';
 import {PoolDemand, PoolLoan} from '../../protocol';
 import {HostState, PoolHost} from '../../types';
@@ -125,17 +130,28 @@
     return (known?.host.slots ?? 0) - (countTaken().get(hostId) ?? 0);
   }
 
-  function targetOf(session: string, capacity: number): number {
+  /** Returns what a borrower may hold now: its share, but of the free slots only its part. */
+  function targetOf(
+    session: string,
+    capacity: number,
+    hosts: readonly LendableHost[],
+  ): number {
     const now = performance.now();
     const live = [...borrowers].filter(([, record]) => now < record.endsAt);
-    const wanted = live.map(([, record]) => wantedBy(record.demand));
-    const shares = shareFairly(capacity, wanted);
-    return shares[live.findIndex(([known]) => known === session)] ?? 0;
+    const needs = live.map(([, {demand, need}]) => ({peak: demand, need}));
+    const shares = shareByNeed(capacity, needs, findHeadroom());
+    const deficits = live.map(([, record], i) =>
+      Math.max(0, shares[i] - countSlots(record.held)),
+    );
+    const index = live.findIndex(([known]) => known === session);
+    const free = hosts.reduce((sum, host) => sum + host.free, 0);
+    const held = hosts.reduce((sum, host) => sum + host.held, 0);
+    return Math.min(shares[index], held + limitGrowth(free, deficits, index));
   }
 
-  function wantedBy(demand: number): number {
-    const waits = performance.now() - reservationRefusedAt < LONG_WORK_WAITS_MS;
-    return demand + (waits ? 0 : HEADROOM_SLOTS);
+  function findHeadroom(): number {
+    const sinceMs = performance.now() - reservationRefusedAt;
+    return sinceMs < LONG_WORK_WAITS_MS ? 0 : HEADROOM_SLOTS;
   }
 
   function lendable(
@@ -169,6 +185,7 @@
       memberId,
       sequence,
       demand: demand.demand,
+      need: demand.need,
       held,
       used,
       endsAt: now + LOAN_MS + LOAN_MARGIN_MS,
@@ -177,7 +194,7 @@
     forgetEnded(now);
     const hosts = lendable(session, held, used);
     const capacity = countLendable();
-    const granted = adjustLoan(targetOf(session, capacity), hosts);
+    const granted = adjustLoan(targetOf(session, capacity, hosts), hosts);
     borrowers.set(session, {...record, held: largest(held, granted)});
     noteShortage(capacity);
     const total = [...granted.values()].reduce((sum, n) => sum + n, 0);
@@ -252,6 +269,12 @@
   };
 }
 
+function countSlots(held: ReadonlyMap<string, number>): number {
+  let sum = 0;
+  for (const slots of held.values()) sum += slots;
+  return sum;
+}
+
 function add(counts: Map<string, number>, hostId: string, slots: number): void {
   counts.set(hostId, (counts.get(hostId) ?? 0) + slots);
 }
