--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -1,3 +1,5 @@
+import {runControlBench} from './control';
+import {runFleetBench} from './fleet';
 import {runPathBench} from './path';
 import {runAtMostOnceBench} from './requests/at_most_once';
 import {runPlannedStopBench} from './requests/planned_stop';
@@ -6,7 +8,9 @@
 
 /** Every bench by its name. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
+  control: runControlBench,
   'at-most-once': runAtMostOnceBench,
+  fleet: runFleetBench,
   path: runPathBench,
   'planned-stop': runPlannedStopBench,
   scale: runScaleBench,
--- a/features/http/hardening.steps.ts
+++ b/features/http/hardening.steps.ts
@@ -96,7 +96,12 @@
 Then("the members' port still answers heartbeats", async () => {
   const peers = createGrpcPeers();
   disposals.push(() => peers.dispose());
-  const beat = {memberId: 'a', configurationRevision: 3};
+  const beat = {
+    memberId: 'a',
+    configurationRevision: 3,
+    incarnation: '',
+    storeAnswers: true,
+  };
   const member = {address: ADDRESS, peerPort: membersPort} as Member;
   const reply = await peers.call(member, heartbeatMethod, beat, 60_000);
   assert.equal(reply.isOk && reply.value.configurationRevision, 3);
