--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -2,6 +2,7 @@
 import {runControlBench} from './control';
 import {runFleetBench} from './fleet';
 import {runPathBench} from './path';
+import {runRequestsBench} from './requests';
 import {runAtMostOnceBench} from './requests/at_most_once';
 import {runPlannedStopBench} from './requests/planned_stop';
 import {runScaleBench} from './scale';
@@ -14,6 +15,8 @@
   'at-most-once': runAtMostOnceBench,
   fleet: runFleetBench,
   path: runPathBench,
+  requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
+  requests: runRequestsBench,
   scale: runScaleBench,
 };
--- a/bench/scale/index.ts
+++ b/bench/scale/index.ts
@@ -1,6 +1,8 @@
 import {Bench} from '../shared';
 import {probeJobs} from './jobs';
+import {probeFleet} from './fleet';
 import {probeClaims} from './claims';
+import {probeControl} from './control';
 import {FittedSlope, ScaleProbe, fitLine} from './slope';
 
 export * from './slope';
@@ -8,7 +10,9 @@
 /** Probes by area; each measures its own roles and decisions. */
 const PROBES: Readonly<Record<string, ScaleProbe>> = {
   jobs: probeJobs,
+  fleet: probeFleet,
   claims: probeClaims,
+  control: probeControl,
 };
 
 /** Measures how each role's costs grow, and fits a line to each. */
--- a/src/wiring/core.ts
+++ b/src/wiring/core.ts
@@ -41,7 +41,7 @@
 import {AnyPeerHandler} from '../ports';
 import {borrowMethod} from '../protocol';
 import {Telemetry} from '../telemetry';
-import {Member} from '../types';
+import {Loan, Member} from '../types';
 import {Outside} from './outside';
 import {createPoolLeaders} from './pool_leaders';
 
@@ -58,6 +58,8 @@
   readonly hosts: HostCalls;
   readonly jobs: JobCalls;
   readonly requests: Requests;
+  /** Returns the slots lent to this entry host; undefined without a loan. */
+  getLoans(pool: string): readonly Loan[] | undefined;
   /** What answers the calls of other members. */
   readonly handlers: readonly AnyPeerHandler[];
   /** True while new requests are welcome. */
@@ -245,6 +247,7 @@
       getPoolHosts: view.getPoolHosts,
     }),
     requests,
+    getLoans: borrower.getLoans,
     handlers: [
       heartbeats.handler,
       relay.handler,
