--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -1,3 +1,4 @@
+import {runLongWorkBench} from './long_work';
 import {runControlBench} from './control';
 import {runFleetBench} from './fleet';
 import {runPathBench} from './path';
@@ -9,11 +10,13 @@
 
 /** Every bench by its name. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
+  'long-work': runLongWorkBench,
   control: runControlBench,
   'at-most-once': runAtMostOnceBench,
   fleet: runFleetBench,
   path: runPathBench,
   requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
+  requests: runRequestsBench,
   scale: runScaleBench,
 };
