--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -15,7 +15,6 @@
   'at-most-once': runAtMostOnceBench,
   fleet: runFleetBench,
   path: runPathBench,
-  requests: runRequestsBench,
   'planned-stop': runPlannedStopBench,
   requests: runRequestsBench,
   scale: runScaleBench,
