End the sessions with lives that an order for their machine has ended

Ruled out: lost connections, too many descriptors. Change: an order keeps the sessions with the lives that it ends, and concludes them when the list of machines shows another life or none. The wait for ends to be stored is woken by the store's answer instead of a look each 5 ms. Test: waves.feature, 'A machine that was moved away gets no task' (30 starts on ended lives before, 0 after); stand-in entries now linger as the platform's do.

--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -48,3 +48,12 @@
     Then no run was ended by a move
     And never more than 1 lasting task was away through orders
     And the history of runs holds every promise
+
+  @promise-budget
+  Scenario: A machine that was moved away gets no task while the registry still lists its old life
+    Given 3 entry hosts, 8 hosts for workflows and 2 spare machines
+    When 6 s pass
+    And 60 workflows of 6 tasks of 800 ms are submitted
+    Then all are "completed" within 10 s
+    And no start was ordered on a life that had ended
+    And the history of runs holds every promise
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -146,3 +146,7 @@
   );
   assert.deepEqual(gone, []);
 });
+
+Then('no start was ordered on a life that had ended', () => {
+  assert.equal(getWorld().fleet.countStartsAtGone(), 0);
+});
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -90,8 +90,6 @@
 const STRAY_MS = 1_000;
 /** Longest wait for ends to be stored before the lease is extended again, in ms. */
 const STORE_WAIT_MS = 500;
-/** Wait between two looks at whether ends were stored, in ms. */
-const STORE_LOOK_MS = 5;
 /** Added to the time that a stop takes before its absence counts, in ms. */
 const STOP_SLACK_MS = 100;
 
@@ -157,8 +155,11 @@
     const until = performance.now() + STORE_WAIT_MS;
     while (receipts.hasUnstored() && performance.now() < until) {
       await new Promise<void>(resolve => {
-        wake = resolve;
-        setTimeout(resolve, STORE_LOOK_MS);
+        const timer = setTimeout(resolve, until - performance.now());
+        wake = () => {
+          clearTimeout(timer);
+          resolve();
+        };
       });
     }
   }
--- a/src/actors/workflows/machine_keeper.ts
+++ b/src/actors/workflows/machine_keeper.ts
@@ -61,6 +61,8 @@
 interface Order {
   readonly at: number;
   readonly wave: number | undefined;
+  /** Sessions with the lives that the order ends. */
+  readonly sessions: readonly HostSession[];
   answered: boolean;
 }
 
@@ -147,15 +149,23 @@
 
   /** An order is over once the list shows its machine up again after the time that it takes. */
   function settleOrders(askedAt: number): void {
-    const states = new Map(list.map(machine => [machine.id, machine.state]));
+    const listed = new Map(list.map(machine => [machine.id, machine]));
     for (const [id, order] of orders) {
       const takesMs = order.wave === undefined ? times.moveMs : times.upkeepMs;
       if (!order.answered || askedAt < order.at + takesMs) continue;
-      const state = states.get(id);
+      const machine = listed.get(id);
       const over = askedAt > order.at + takesMs + SETTLE_MS;
-      if (state === MachineState.Up || state === undefined || over) {
-        orders.delete(id);
-      }
+      if (machine && machine.state !== MachineState.Up && !over) continue;
+      orders.delete(id);
+      endLives(order, machine?.hostId ?? '');
+    }
+  }
+
+  /** The registry may list a life for seconds after an order has ended it. */
+  function endLives({sessions}: Order, livingHostId: string): void {
+    for (const session of sessions) {
+      if (session.room.host.id === livingHostId) continue;
+      session.conclude('an order for its machine ended it');
     }
   }
 
@@ -473,9 +483,11 @@
   /** Reserves an empty machine for an order; no task goes there any more. */
   function take(machine: string, wave: number | undefined): boolean {
     if (listTasks(machine).length > 0) return false;
-    for (const session of listSessions(machine)) session.cordon(true);
+    const sessions = listSessions(machine);
+    for (const session of sessions) session.cordon(true);
     cordonedAt.set(machine, performance.now());
-    orders.set(machine, {at: performance.now(), wave, answered: false});
+    const at = performance.now();
+    orders.set(machine, {at, wave, sessions, answered: false});
     return true;
   }
 
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -33,6 +33,8 @@
   readonly faults: FleetCallFaults;
   readonly hosts: ReadonlyMap<string, TaskHostModel>;
   readonly machines: ReadonlyMap<string, Machine>;
+  /** Counts the starts that were ordered on lives which had ended. */
+  countStartsAtGone(): number;
   /** Adds a machine; one of a spare pool is off. */
   addMachine(pool: string, off?: boolean): string;
   /** Ends the life of a machine's host; with silence nothing answers at its address. */
@@ -87,6 +89,7 @@
     late: {share: 0, afterMs: 0},
   };
   let count = 0;
+  let startsAtGone = 0;
 
   const record = (event: Omit<FleetEvent, 'at'>) =>
     void events.push({...event, at: performance.now()});
@@ -123,15 +126,14 @@
     putEntry(`${FLEET_REGISTRY_PREFIX}${host.id}`, JSON.stringify(host));
   }
 
-  function endLife(id: string, entryMs: number): void {
+  function endLife(id: string): void {
     const machine = machines.get(id);
     const host = machine && hosts.get(machine.hostId);
     if (!host) return;
     host.kill();
     dead.add(host.host.id);
     const key = `${FLEET_REGISTRY_PREFIX}${host.host.id}`;
-    if (entryMs === 0) putEntry(key, undefined);
-    else setTimeout(() => putEntry(key, undefined), entryMs);
+    setTimeout(() => putEntry(key, undefined), ENTRY_MS);
     setMachine(id, {state: MachineState.Down, hostId: ''});
   }
 
@@ -188,7 +190,7 @@
       fence,
     });
     const off = machine.hostId === '';
-    endLife(id, 0);
+    endLife(id);
     setMachine(id, {state, pool, hostId: ''});
     setTimeout(() => {
       const stays = off && pool === machine.pool;
@@ -206,6 +208,7 @@
     faults,
     hosts,
     machines,
+    countStartsAtGone: () => startsAtGone,
     addMachine(pool, off = false) {
       const id = `machine-${machines.size + 1}`;
       machines.set(id, {id, pool, state: MachineState.Up, hostId: ''});
@@ -216,13 +219,15 @@
     crash(machine, silent) {
       const {hostId = ''} = machines.get(machine) ?? {};
       if (silent) faults.silent.add(hostId);
-      endLife(machine, ENTRY_MS);
+      endLife(machine);
     },
     boot,
     getHost: machine => hosts.get(machines.get(machine)?.hostId ?? ''),
     createTaskHosts: isCut => ({
-      start: (host, order) =>
-        call(host, isCut, true, model => model.start(order)),
+      start(host, order) {
+        if (dead.has(host.id)) startsAtGone += 1;
+        return call(host, isCut, true, model => model.start(order));
+      },
       stop: (host, order) =>
         call(host, isCut, true, model => model.stop(order)),
       pace: (host, order, percent) =>
