Keep the followed states of workflows apart from their progress; begun once confirmed

Every entry host also followed the whole progress of every workflow. Ruled out: a stale watch at the entry host that answered (no store line there). Change: live/state/ID holds what entry hosts follow and is written when it changes; progress/ID is read by the next leader only. `begun` is set when a host has confirmed a start. Entry hosts with under half a processor stand 500 ms later. Test: running.feature, 'A workflow is said to wait until ...' (failed before).

--- a/features/workflows/running.feature
+++ b/features/workflows/running.feature
@@ -164,3 +164,15 @@
     Then every task has started at most once
     And the first workflow is no longer kept
     And the history of runs holds every promise
+
+  @promise-long-work @failure-partition
+  Scenario: A workflow is said to wait until a host has confirmed the start of a task
+    Given 3 entry hosts and 2 hosts for workflows
+    When every host falls silent but keeps running
+    And a workflow of 4 tasks of 500 ms is submitted
+    And 2 s pass
+    Then every entry host says that 1 workflow waits
+    When every host answers again
+    Then it is "completed" within 5 s
+    And every entry host says that 0 workflows wait
+    And the history of runs holds every promise
--- a/features/workflows/running.steps.ts
+++ b/features/workflows/running.steps.ts
@@ -4,6 +4,7 @@
 import {FLEET_REGISTRY_PREFIX, FleetEventKind} from '../../src/stand_ins/fleet';
 import {advance, advanceUntil} from '../support/paused_clock';
 import {
+  QUEUE,
   Submitted,
   TestMember,
   WorkflowWorld,
@@ -368,3 +369,22 @@
   const [{id}] = submitted;
   assert.equal(getWorld().keyValue.get(`work/${id}`), undefined);
 });
+
+When('every host falls silent but keeps running', () => {
+  const {faults, hosts} = getWorld().fleet;
+  for (const id of hosts.keys()) faults.silent.add(id);
+});
+
+When('every host answers again', () => {
+  getWorld().fleet.faults.silent.clear();
+});
+
+Then(
+  /^every entry host says that (\d+) workflows? waits?$/,
+  async (expected: string) => {
+    await advance(500);
+    for (const {entry} of getWorld().members) {
+      assert.equal(entry.intake.countWaiting(QUEUE.name), Number(expected));
+    }
+  },
+);
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -233,6 +233,7 @@
           return true;
         },
         machineTimes: TIMES,
+        processorShare: 1,
         leaderLeaseMs: TIMES.leaderLeaseMs,
         times: TIMES,
         log: createLog({member: id}, LogLevel.Error),
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -1,6 +1,7 @@
 import {
   LoadReport,
   StoredProgress,
+  StoredState,
   TaskPhase,
   TaskRecord,
   WorkflowRecord,
@@ -10,7 +11,7 @@
   isFinal,
   mayEnd,
 } from '../../decisions/workflows';
-import {Store} from '../../ports';
+import {Store, StoreEntry} from '../../ports';
 import {HostRefusal, PlacementAdvice, TaskHosts} from '../../ports/hosts';
 import {Mirror, createMirror, delay} from '../../state';
 import {Log, PoolGauge} from '../../telemetry';
@@ -25,9 +26,11 @@
   LEDGER_KEY,
   LOAD_KEY,
   PROGRESS_PREFIX,
+  STATE_PREFIX,
   WORK_PREFIX,
   getCancelKey,
   getProgressKey,
+  getStateKey,
   getWorkKey,
 } from './keys';
 import {Term} from './leadership';
@@ -144,12 +147,13 @@
 
   async function read(): Promise<void> {
     while (!abort.signal.aborted) {
-      const [progress, last] = await Promise.all([
+      const [states, progress, last] = await Promise.all([
+        store.list(STATE_PREFIX),
         store.list(PROGRESS_PREFIX),
         store.get(LEDGER_KEY),
       ]);
       if (abort.signal.aborted) return;
-      if (progress.isErr || last.isErr) {
+      if (states.isErr || progress.isErr || last.isErr) {
         await delay(RETRY_MS, abort.signal);
         continue;
       }
@@ -165,17 +169,14 @@
         ledgerVersion: last.value?.version ?? 0,
         onFenced: () => onFenced('a write was refused'),
       });
-      const stored = new Map(
-        progress.value.entries.map(entry => [
-          entry.key,
-          JSON.parse(entry.value) as StoredProgress,
-        ]),
-      );
-      return follow(stored);
+      return follow({
+        states: parseEntries<StoredState>(states.value.entries),
+        progress: parseEntries<StoredProgress>(progress.value.entries),
+      });
     }
   }
 
-  function follow(stored: ReadonlyMap<string, StoredProgress>): void {
+  function follow(stored: StoredWorkflows): void {
     const work = createMirror<Workflow>(store, WORK_PREFIX, {
       waitMs: WATCH_WAIT_MS,
       paceMs: WATCH_PACE_MS,
@@ -202,17 +203,17 @@
     stops.push(() => clearInterval(clean));
   }
 
-  function admit(
-    workflow: Workflow,
-    stored: ReadonlyMap<string, StoredProgress>,
-  ): void {
-    if (records.has(workflow.id)) return;
-    const progress = ready
-      ? undefined
-      : stored.get(getProgressKey(workflow.id));
-    const record = createWorkflowRecord(workflow, progress, performance.now());
-    records.set(workflow.id, record);
-    if (live.entries.get().has(getCancelKey(workflow.id))) cancel(record);
+  function admit(workflow: Workflow, stored: StoredWorkflows): void {
+    const {id} = workflow;
+    if (records.has(id)) return;
+    const record = createWorkflowRecord(
+      workflow,
+      ready ? undefined : stored.states.get(getStateKey(id)),
+      (ready ? undefined : stored.progress.get(getProgressKey(id))) ?? {},
+      performance.now(),
+    );
+    records.set(id, record);
+    if (live.entries.get().has(getCancelKey(id))) cancel(record);
   }
 
   /** Holds every host, and every one on which an earlier leader may have placed a task. */
@@ -236,6 +237,7 @@
       stopMs: times.stopMs,
       mayExtend: () => term.getAgeMs() < times.authorityMs,
       log,
+      onBegun: noteBegun,
       onEnd: takeEnd,
       onLost: (task, cause) => {
         log.info('run lost', {
@@ -315,6 +317,14 @@
     schedule();
   }
 
+  /** Callers are told that a workflow has begun when a host has confirmed it. */
+  function noteBegun(task: TaskRecord): void {
+    const record = records.get(task.workflow.id);
+    if (!record || record.begun) return;
+    record.begun = true;
+    ledger?.store(record);
+  }
+
   function schedule(): void {
     if (scheduled || !ready) return;
     scheduled = true;
@@ -361,7 +371,7 @@
       forEachTask(record, task => (busy ||= task.placement !== undefined));
       if (busy) continue;
       removing.add(id);
-      ledger?.remove([getWorkKey(id), getProgressKey(id), getCancelKey(id)]);
+      ledger?.remove([getWorkKey(id), getStateKey(id), getCancelKey(id)]);
     }
   }
 
@@ -389,3 +399,15 @@
     },
   };
 }
+
+/** What earlier leaders and entry hosts have stored, by key. */
+interface StoredWorkflows {
+  readonly states: ReadonlyMap<string, StoredState>;
+  readonly progress: ReadonlyMap<string, StoredProgress>;
+}
+
+function parseEntries<T>(
+  entries: readonly StoreEntry[],
+): ReadonlyMap<string, T> {
+  return new Map(entries.map(({key, value}) => [key, JSON.parse(value) as T]));
+}
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -64,6 +64,8 @@
   /** Tells whether leases may be extended: the term isn't in doubt for too long. */
   readonly mayExtend: () => boolean;
   readonly log: Log;
+  /** The host has confirmed the start of a run. */
+  readonly onBegun: (task: TaskRecord) => void;
   /** A run has ended; acknowledge once that is stored. */
   readonly onEnd: (
     task: TaskRecord,
@@ -107,6 +109,7 @@
   stopMs,
   mayExtend,
   log,
+  onBegun,
   onEnd,
   onLost,
   onNews,
@@ -236,6 +239,7 @@
     running: HoldReport['running'][number],
   ): void {
     placement.confirmed = true;
+    onBegun(task);
     placement.seenAt = performance.now();
     if (running.percent !== placement.percent) {
       placement.percent = running.percent;
@@ -363,7 +367,8 @@
         if (refusal === HostRefusal.Fenced) return onFenced();
         if (refusal === undefined || refusal === HostRefusal.OldRun) {
           if (placement.stopping) break;
-          return settle(placement);
+          settle(placement);
+          return onBegun(task);
         }
         return giveUp(task, placement, unanswered, refusal);
       }
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -1,7 +1,7 @@
 import {Result} from 'true-myth';
 import {
   LoadReport,
-  StoredProgress,
+  StoredState,
   isFinal,
   judgeAdmission,
 } from '../../decisions/workflows';
@@ -9,13 +9,7 @@
 import {Mirror} from '../../state';
 import {Log} from '../../telemetry';
 import {Queue, Step, Workflow, WorkflowState} from '../../types/workflow';
-import {
-  CANCEL_PREFIX,
-  PROGRESS_PREFIX,
-  getCancelKey,
-  getProgressKey,
-  getWorkKey,
-} from './keys';
+import {STATE_PREFIX, getCancelKey, getStateKey, getWorkKey} from './keys';
 
 /** What became of a submission. */
 export enum SubmitOutcome {
@@ -92,9 +86,9 @@
   getLoad,
   log,
 }: IntakeOptions): Intake {
-  function getProgress(id: string): StoredProgress | undefined {
-    const entry = live.entries.get().get(getProgressKey(id));
-    return entry?.value as StoredProgress | undefined;
+  function getState(id: string): StoredState | undefined {
+    const entry = live.entries.get().get(getStateKey(id));
+    return entry?.value as StoredState | undefined;
   }
 
   async function submit(
@@ -102,7 +96,7 @@
     id: string,
     draft: WorkflowDraft,
   ): Promise<SubmitAnswer> {
-    if (getProgress(id)) return {outcome: SubmitOutcome.Accepted};
+    if (getState(id)) return {outcome: SubmitOutcome.Accepted};
     if (!live.connected.get()) {
       return {
         outcome: SubmitOutcome.Unavailable,
@@ -131,18 +125,17 @@
   }
 
   async function create(workflow: Workflow): Promise<SubmitAnswer> {
-    const {id, queue, firstAt} = workflow;
-    const progress: StoredProgress = {
+    const {id, queue} = workflow;
+    const state: StoredState = {
       queue,
       state: WorkflowState.Pending,
       begun: false,
-      ...(firstAt === 0 ? {} : {timed: true}),
     };
     const result = await store.transact({
       conditions: new Map([[getWorkKey(id), 0]]),
       puts: [
         {key: getWorkKey(id), value: JSON.stringify(workflow)},
-        {key: getProgressKey(id), value: JSON.stringify(progress)},
+        {key: getStateKey(id), value: JSON.stringify(state)},
       ],
       removals: [],
     });
@@ -159,22 +152,22 @@
     };
   }
 
-  async function readProgress(
+  async function findState(
     id: string,
-  ): Promise<Result<StoredProgress | undefined, StoreFailure>> {
-    const known = getProgress(id);
+  ): Promise<Result<StoredState | undefined, StoreFailure>> {
+    const known = getState(id);
     if (known) return Result.ok(known);
-    const found = await store.get(getProgressKey(id));
+    const found = await store.get(getStateKey(id));
     return found.map(entry =>
       entry === undefined
         ? undefined
-        : (JSON.parse(entry.value) as StoredProgress),
+        : (JSON.parse(entry.value) as StoredState),
     );
   }
 
   async function readState(queue: Queue, id: string) {
-    const progress = await readProgress(id);
-    return progress.map(found => {
+    const stored = await findState(id);
+    return stored.map(found => {
       if (!found || found.queue !== queue.name) return undefined;
       if (isFinal(found.state)) return found.state;
       const cancelled = live.entries.get().has(getCancelKey(id));
@@ -183,12 +176,12 @@
   }
 
   async function cancel(queue: Queue, id: string): Promise<CancelOutcome> {
-    const progress = await readProgress(id);
-    if (progress.isErr) return CancelOutcome.Unavailable;
-    if (!progress.value || progress.value.queue !== queue.name) {
+    const stored = await findState(id);
+    if (stored.isErr) return CancelOutcome.Unavailable;
+    if (!stored.value || stored.value.queue !== queue.name) {
       return CancelOutcome.NotFound;
     }
-    if (isFinal(progress.value.state)) return CancelOutcome.Cancelled;
+    if (isFinal(stored.value.state)) return CancelOutcome.Cancelled;
     if (live.entries.get().has(getCancelKey(id))) {
       return CancelOutcome.Cancelled;
     }
@@ -224,17 +217,13 @@
     },
     countWaiting(queue) {
       let waiting = 0;
-      for (const [key, {value}] of live.entries.get()) {
-        if (!key.startsWith(PROGRESS_PREFIX)) continue;
-        const progress = value as StoredProgress;
-        if (progress.queue !== queue || progress.begun) continue;
-        if (isFinal(progress.state)) continue;
-        if (
-          live.entries
-            .get()
-            .has(CANCEL_PREFIX + key.slice(PROGRESS_PREFIX.length))
-        )
-          continue;
+      const entries = live.entries.get();
+      for (const [key, {value}] of entries) {
+        if (!key.startsWith(STATE_PREFIX)) continue;
+        const stored = value as StoredState;
+        if (stored.queue !== queue || stored.begun) continue;
+        if (isFinal(stored.state)) continue;
+        if (entries.has(getCancelKey(key.slice(STATE_PREFIX.length)))) continue;
         waiting += 1;
       }
       return waiting;
--- a/src/actors/workflows/leadership.ts
+++ b/src/actors/workflows/leadership.ts
@@ -28,6 +28,8 @@
   readonly memberId: string;
   /** Length of the leader's lease in ms. */
   readonly leaseMs: number;
+  /** Time in ms by which stronger entry hosts stand first. */
+  readonly standDelayMs: number;
   readonly log: Log;
   readonly onElected: (term: Term) => void;
   readonly onDeposed: (cause: string) => void;
@@ -49,6 +51,7 @@
   store,
   memberId,
   leaseMs,
+  standDelayMs,
   log,
   onElected,
   onDeposed,
@@ -65,7 +68,7 @@
     if (standing || fence > 0) return;
     standing = true;
     while (!stopped && fence === 0 && !leaderSeen) {
-      await delay(Math.random() * CANDIDATE_SPREAD_MS);
+      await delay(standDelayMs + Math.random() * CANDIDATE_SPREAD_MS);
       if (stopped || leaderSeen) break;
       const answered = await tryToLead();
       if (!answered) await delay(RETRY_MS);
--- a/src/actors/workflows/ledger.ts
+++ b/src/actors/workflows/ledger.ts
@@ -2,11 +2,12 @@
 import {
   WorkflowRecord,
   encodeProgress,
+  encodeState,
   isFinal,
 } from '../../decisions/workflows';
-import {Store, StoreEntry, StoreFailure} from '../../ports';
+import {Store, StoreEntry, StoreFailure, StorePut} from '../../ports';
 import {delay} from '../../state';
-import {LEADER_KEY, LEDGER_KEY, getProgressKey} from './keys';
+import {LEADER_KEY, LEDGER_KEY, getProgressKey, getStateKey} from './keys';
 
 /** Stores the progress of workflows in one order, under the leader's term. */
 export interface Ledger {
@@ -38,13 +39,23 @@
   readonly run: () => void;
 }
 
+/** What is stored of a workflow, as text. */
+interface StoredTexts {
+  readonly version: number;
+  readonly state: string;
+  /** undefined once the workflow has ended. */
+  readonly progress: string | undefined;
+}
+
 interface Attempt {
-  readonly versions: ReadonlyMap<WorkflowRecord, number>;
+  readonly texts: ReadonlyMap<WorkflowRecord, StoredTexts>;
   readonly removals: readonly string[];
 }
 
 /** Entries of a transaction that the store accepts, less two conditions and the ledger's key. */
-const MOST_RECORDS = 29;
+const MOST_ENTRIES = 29;
+/** Entries that one workflow takes at the most: its state and its progress. */
+const ENTRIES_EACH = 2;
 /** Wait in ms before a write that is not in a hurry, so that changes share it. */
 const GATHER_MS = 3;
 /** Wait in ms after a write that failed. */
@@ -67,6 +78,7 @@
 }: LedgerOptions): Ledger {
   const dirty = new Set<WorkflowRecord>();
   const removals = new Set<string>();
+  const storedTexts = new WeakMap<WorkflowRecord, StoredTexts>();
   let effects: Effect[] = [];
   let version = ledgerVersion;
   /** Writes without an answer since the version, by token. */
@@ -86,10 +98,19 @@
 
   async function writeOnce(): Promise<boolean> {
     const token = randomUUID();
-    const records = [...dirty].slice(0, MOST_RECORDS);
+    const texts = new Map<WorkflowRecord, StoredTexts>();
+    const puts: StorePut[] = [{key: LEDGER_KEY, value: JSON.stringify(token)}];
+    const ended: string[] = [];
+    for (const record of dirty) {
+      if (puts.length + ended.length > MOST_ENTRIES - ENTRIES_EACH) break;
+      const text = encode(record);
+      texts.set(record, text);
+      addChanges(record, text, puts, ended);
+    }
+    const left = Math.max(0, MOST_ENTRIES - puts.length - ended.length);
     const attempt: Attempt = {
-      versions: new Map(records.map(record => [record, record.version])),
-      removals: [...removals].slice(0, MOST_RECORDS - records.length),
+      texts,
+      removals: [...removals].slice(0, left),
     };
     attempts.set(token, attempt);
     const result = await store.transact({
@@ -97,14 +118,8 @@
         [LEADER_KEY, fence],
         [LEDGER_KEY, version],
       ]),
-      puts: [
-        {key: LEDGER_KEY, value: JSON.stringify(token)},
-        ...records.map(record => ({
-          key: getProgressKey(record.workflow.id),
-          value: JSON.stringify(encodeProgress(record, isFinal(record.state))),
-        })),
-      ],
-      removals: attempt.removals,
+      puts,
+      removals: [...ended, ...attempt.removals],
     });
     if (stopped) return true;
     if (result.isErr) {
@@ -119,6 +134,24 @@
     return reconcile(result.value.found);
   }
 
+  /** Adds what differs from what is stored; the progress of an ended workflow goes. */
+  function addChanges(
+    record: WorkflowRecord,
+    {state, progress}: StoredTexts,
+    puts: StorePut[],
+    ended: string[],
+  ): void {
+    const {id} = record.workflow;
+    const before = storedTexts.get(record);
+    if (state !== before?.state) {
+      puts.push({key: getStateKey(id), value: state});
+    }
+    if (before && progress === before.progress) return;
+    const key = getProgressKey(id);
+    if (progress === undefined) ended.push(key);
+    else puts.push({key, value: progress});
+  }
+
   /** A condition did not hold: an own write took effect after all, or the term has ended. */
   function reconcile(found: readonly StoreEntry[]): boolean {
     const leader = found.find(entry => entry.key === LEADER_KEY);
@@ -137,9 +170,10 @@
     version = newVersion;
     attempts.clear();
     for (const key of attempt.removals) removals.delete(key);
-    for (const [record, stored] of attempt.versions) {
-      record.storedVersion = Math.max(record.storedVersion, stored);
-      if (record.version === stored) dirty.delete(record);
+    for (const [record, text] of attempt.texts) {
+      storedTexts.set(record, text);
+      record.storedVersion = Math.max(record.storedVersion, text.version);
+      if (record.version === text.version) dirty.delete(record);
     }
     const due: Effect[] = [];
     const later: Effect[] = [];
@@ -173,3 +207,13 @@
     },
   };
 }
+
+function encode(record: WorkflowRecord): StoredTexts {
+  return {
+    version: record.version,
+    state: JSON.stringify(encodeState(record)),
+    progress: isFinal(record.state)
+      ? undefined
+      : JSON.stringify(encodeProgress(record)),
+  };
+}
--- a/src/actors/workflows/run_ends.ts
+++ b/src/actors/workflows/run_ends.ts
@@ -71,6 +71,7 @@
     take(record, task, end) {
       log.debug('run ended', {task: task.name, run: task.run, how: end.kind});
       const {placement} = task;
+      record.begun = true;
       task.placement = undefined;
       if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
       if (end.kind === TaskEndKind.Done) {
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -148,7 +148,6 @@
       task.placement = createPlacement(id, bornAt, address, task.run, now);
       sessions.all.get(id)?.add(task);
     }
-    record.begun = true;
     if (record.state === WorkflowState.Pending) {
       record.state = WorkflowState.Running;
     }
--- a/src/decisions/workflows/encode_progress.ts
+++ b/src/decisions/workflows/encode_progress.ts
@@ -1,26 +1,30 @@
 import {StoredGroup, StoredProgress} from './stored_progress';
+import {StoredState} from './stored_state';
 import {TaskPhase, TaskRecord} from './task_record';
 import {WorkflowRecord} from './workflow_record';
 
-/** Returns what is stored of a workflow; of one that has ended only the state. */
-export function encodeProgress(
-  record: WorkflowRecord,
-  ended: boolean,
-): StoredProgress {
-  const {workflow, state, begun, endedAt} = record;
-  const head = {
+/** Returns what every entry host follows of a workflow. */
+export function encodeState({
+  workflow,
+  state,
+  begun,
+  endedAt,
+}: WorkflowRecord): StoredState {
+  return {
     queue: workflow.queue,
     state,
     begun,
-    ...(workflow.firstAt === 0 ? {} : {timed: true}),
     ...(endedAt === 0 ? {} : {endedAt}),
   };
-  if (ended) return head;
+}
+
+/** Returns what the next leader needs of a workflow that hasn't ended. */
+export function encodeProgress(record: WorkflowRecord): StoredProgress {
   const groups: Record<string, StoredGroup> = {};
   for (const [key, tasks] of record.groups) {
     if (tasks.some(task => task.run > 0)) groups[key] = encodeGroup(tasks);
   }
-  return {...head, groups};
+  return groups;
 }
 
 function encodeGroup(tasks: readonly TaskRecord[]): StoredGroup {
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -11,5 +11,6 @@
 export * from './plan_wave';
 export * from './run_times';
 export * from './stored_progress';
+export * from './stored_state';
 export * from './task_record';
 export * from './workflow_record';
--- a/src/decisions/workflows/stored_progress.ts
+++ b/src/decisions/workflows/stored_progress.ts
@@ -1,5 +1,3 @@
-import {WorkflowState} from '../../types/workflow';
-
 /** What is stored of a step in one occurrence. */
 export interface StoredGroup {
   /** Number of the last run by task. */
@@ -12,13 +10,5 @@
   readonly placements?: Readonly<Record<number, string>>;
 }
 
-/** What is stored of a workflow; entry hosts read it, the leader writes it. */
-export interface StoredProgress {
-  readonly queue: string;
-  readonly state: WorkflowState;
-  readonly begun: boolean;
-  readonly endedAt?: number;
-  /** True if the workflow waits for a time of its own. */
-  readonly timed?: boolean;
-  readonly groups?: Readonly<Record<string, StoredGroup>>;
-}
+/** What the next leader reads of a workflow that hasn't ended: its groups by `occurrence.step`. */
+export type StoredProgress = Readonly<Record<string, StoredGroup>>;
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -1,13 +1,14 @@
 import {Step, Workflow, WorkflowState} from '../../types/workflow';
 import {Placement} from './placement';
-import {StoredProgress, StoredGroup} from './stored_progress';
+import {StoredGroup, StoredProgress} from './stored_progress';
+import {StoredState} from './stored_state';
 import {TaskPhase, TaskRecord} from './task_record';
 
 /** What the leader knows of one workflow; it changes in place. */
 export interface WorkflowRecord {
   readonly workflow: Workflow;
   state: WorkflowState;
-  /** True once any of its tasks was ordered. */
+  /** True once a host has confirmed the start of one of its tasks. */
   begun: boolean;
   /** Unix time in ms of the end; 0 before. */
   endedAt: number;
@@ -38,24 +39,26 @@
  * Creates what the leader knows of a workflow.
  *
  * @param workflow the workflow
- * @param progress what an earlier leader stored
+ * @param stored its state, as an entry host or an earlier leader stored it
+ * @param progress what an earlier leader stored of its runs
  * @param now steady time in ms
  */
 export function createWorkflowRecord(
   workflow: Workflow,
-  progress: StoredProgress | undefined,
+  stored: StoredState | undefined,
+  progress: StoredProgress,
   now: number,
 ): WorkflowRecord {
   const record: WorkflowRecord = {
     workflow,
-    state: progress?.state ?? WorkflowState.Pending,
-    begun: progress?.begun ?? false,
-    endedAt: progress?.endedAt ?? 0,
+    state: stored?.state ?? WorkflowState.Pending,
+    begun: stored?.begun ?? false,
+    endedAt: stored?.endedAt ?? 0,
     groups: new Map(),
     version: 0,
     storedVersion: 0,
   };
-  for (const [key, group] of Object.entries(progress?.groups ?? {})) {
+  for (const [key, group] of Object.entries(progress)) {
     const [occurrence, stepIndex] = key.split('.').map(Number);
     if (!workflow.steps[stepIndex]) continue;
     const tasks = getGroup(record, occurrence, stepIndex);
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -37,6 +37,8 @@
   readonly machineTimes: MachineTimes;
   /** Length of the leader's lease in ms. */
   readonly leaderLeaseMs: number;
+  /** Share of a processor that the entry host has: strong ones lead if they can. */
+  readonly processorShare: number;
   readonly times: CoordinatorTimes;
   readonly log: Log;
 }
@@ -66,6 +68,10 @@
 const LIVE_PACE_MS = 80;
 /** Least time between two reads of the registry in ms, well below the time to notice a host that leaves. */
 const REGISTRY_PACE_MS = 250;
+/** Share of a processor that leading a few hundred hosts takes at the least, see docs/CAPACITY.md. */
+const LEADER_SHARE = 0.5;
+/** Time in ms that a weaker entry host waits before it stands: several tries of a stronger one. */
+const WEAK_DELAY_MS = 500;
 /** Wait after a failed read in ms. */
 const RETRY_MS = 200;
 
@@ -86,6 +92,7 @@
   reportWave,
   machineTimes,
   leaderLeaseMs,
+  processorShare,
   times,
   log,
 }: WorkflowEntryOptions): WorkflowEntry {
@@ -112,6 +119,7 @@
     store,
     memberId,
     leaseMs: leaderLeaseMs,
+    standDelayMs: processorShare < LEADER_SHARE ? WEAK_DELAY_MS : 0,
     log,
     onElected(term) {
       coordinator = createCoordinator({
