--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -34,17 +34,10 @@
 });
 
 When('the host with the most runs announces that it leaves', () => {
-  const {fleet, keyValue} = getWorld();
-  const host = fleet.getHost(findBusiest());
-  assert.ok(host);
-  leavingHost = host.host.id;
-  const entry = keyValue.get(`registry/${leavingHost}`);
-  assert.ok(entry);
-  keyValue.swap({
-    key: entry.key,
-    expectedVersion: entry.version,
-    value: JSON.stringify({...host.host, draining: true}),
-  });
+  const {fleet} = getWorld();
+  const machine = findBusiest();
+  leavingHost = fleet.getHost(machine)?.host.id ?? '';
+  fleet.announceLeave(machine);
 });
 
 Then('nothing runs on the host that leaves', () => {
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -15,13 +15,7 @@
   createStoreFaults,
 } from '../../src/stand_ins/platform';
 import {createLog, LogLevel} from '../../src/telemetry';
-import {
-  FleetConfiguration,
-  MaintenanceWave,
-  Queue,
-  Step,
-  Workflow,
-} from '../../src/types/workflow';
+import {MaintenanceWave, Queue, Step, Workflow} from '../../src/types/workflow';
 import {
   WorkflowEntry,
   createWorkflowEntry,
@@ -62,6 +56,8 @@
   ): Promise<Submitted>;
   readState(id: string): Promise<string | undefined>;
   cancel(member: TestMember, id: string): Promise<void>;
+  /** Writes a configuration with other queues. */
+  configure(version: number, queues: readonly Queue[]): void;
   declareWave(wave: MaintenanceWave): void;
   readWaveReports(): readonly string[];
   check(): readonly RunViolation[];
@@ -79,9 +75,11 @@
   holderGapMs: 3_000,
   leaderLeaseMs: 2_000,
   cancelMs: 3_000,
+  drainMs: 2_000,
 };
 
 export const POOL = 'sky-lookup';
+export const OTHER_POOL = 'dish-desk';
 export const SPARE_POOL = 'backoffice';
 export const QUEUE: Queue = {
   name: 'window-check',
@@ -103,6 +101,8 @@
   advice: {decideMs: 1, eachHostMs: 20, validMs: 5_000},
 };
 
+/** Version of the configuration that a deployment starts with. */
+export const FIRST_VERSION = 4;
 const CONFIGURATION_KEY = 'operator/configuration';
 const WAVE_PREFIX = 'operator/waves/';
 const HOST_CPU_MILLIS = 16_000;
@@ -171,27 +171,22 @@
   const cancelledAt = new Map<string, number>();
   const queues = new Map<string, Queue>();
   const waveReports: string[] = [];
-  const configuration: FleetConfiguration = {
-    version: 4,
-    queues: [QUEUE, ADVISED_QUEUE],
-    pools: new Map([
-      [POOL, {name: POOL, spare: false, guardsCapacity: true}],
-      [SPARE_POOL, {name: SPARE_POOL, spare: true, guardsCapacity: true}],
-    ]),
-  };
+  const pools = [
+    {name: POOL, spare: false, guardsCapacity: true},
+    {name: OTHER_POOL, spare: false, guardsCapacity: true},
+    {name: SPARE_POOL, spare: true, guardsCapacity: true},
+  ];
   let count = 0;
-  put(
-    CONFIGURATION_KEY,
-    JSON.stringify({
-      ...configuration,
-      pools: [...configuration.pools.values()],
-    }),
-  );
+  configure(FIRST_VERSION, [QUEUE, ADVISED_QUEUE]);
   for (let index = 0; index < hostCount; index += 1) fleet.addMachine(POOL);
   for (let index = 0; index < spareCount; index += 1) {
     fleet.addMachine(SPARE_POOL, true);
   }
 
+  function configure(version: number, queues: readonly Queue[]): void {
+    put(CONFIGURATION_KEY, JSON.stringify({version, queues, pools}));
+  }
+
   function put(key: string, value: string): void {
     const expectedVersion = keyValue.get(key)?.version ?? 0;
     keyValue.swap({key, expectedVersion, value});
@@ -281,12 +276,12 @@
       queues.set(id, queue);
       workflows.set(id, {
         id,
-        queue: QUEUE.name,
-        pool: QUEUE.pool,
-        priority: QUEUE.priority,
-        maxAttempts: QUEUE.maxAttempts,
-        stretch: QUEUE.stretch,
-        targetDurationMs: QUEUE.targetDurationMs,
+        queue: queue.name,
+        pool: queue.pool,
+        priority: queue.priority,
+        maxAttempts: queue.maxAttempts,
+        stretch: queue.stretch,
+        targetDurationMs: queue.targetDurationMs,
         acceptedAt: Date.now(),
         ...whole,
       });
@@ -304,6 +299,7 @@
       await settle(member.entry.intake.cancel(QUEUE, id));
       cancelledAt.set(id, performance.now());
     },
+    configure,
     declareWave: wave =>
       put(`${WAVE_PREFIX}${wave.number}`, JSON.stringify(wave)),
     readWaveReports: () => waveReports,
@@ -312,6 +308,8 @@
         workflows,
         cancelledAt,
         cancelMs: TIMES.cancelMs,
+        hosts: fleet.hosts,
+        drainMs: TIMES.drainMs,
         holderGapMs: TIMES.holderGapMs,
       }),
     dispose() {
--- a/src/history/workflows/check_runs.ts
+++ b/src/history/workflows/check_runs.ts
@@ -1,5 +1,5 @@
 import {FleetEvent, FleetEventKind} from '../../stand_ins/fleet';
-import {TaskEndKind, Workflow} from '../../types/workflow';
+import {Step, TaskEndKind, TaskHost, Workflow} from '../../types/workflow';
 import {RunViolation, RunViolationKind} from './run_violation';
 
 /** What callers did and the operator allows. */
@@ -9,6 +9,10 @@
   readonly cancelledAt: ReadonlyMap<string, number>;
   /** Longest time in ms from that answer to the last start. */
   readonly cancelMs: number;
+  /** Hosts by id, with every life. */
+  readonly hosts: ReadonlyMap<string, {readonly host: TaskHost}>;
+  /** Longest time in ms from a host's announcement that it leaves to the last start there. */
+  readonly drainMs: number;
   /** Least time in ms between orders of two holders for a machine. */
   readonly holderGapMs: number;
 }
@@ -43,6 +47,7 @@
   const tasks = new Map<string, TaskHistory>();
   const ends = new Map<string, PendingEnd[]>();
   const endCounts = new Map<string, number>();
+  const leavingAt = new Map<string, number>();
 
   function getHistory(task: string): TaskHistory {
     let history = tasks.get(task);
@@ -74,6 +79,13 @@
     if (!isOpen(workflow, event.task)) {
       report(RunViolationKind.TooEarly, event);
     }
+    if (!isRightHost(event, workflow, step)) {
+      report(RunViolationKind.WrongHost, event);
+    }
+    const leaving = leavingAt.get(event.hostId);
+    if (leaving !== undefined && event.at > leaving + expectations.drainMs) {
+      report(RunViolationKind.OnLeaving, event);
+    }
     const cancelled = cancelledAt.get(id);
     if (cancelled !== undefined && event.at > cancelled + cancelMs) {
       report(RunViolationKind.Unasked, event);
@@ -81,6 +93,24 @@
     history.open.set(`${event.hostId}/${event.run}`, event.hostId);
   }
 
+  function isRightHost(
+    {hostId, task}: FleetEvent,
+    {pool}: Workflow,
+    {label, perHostLimit}: Step,
+  ): boolean {
+    const host = expectations.hosts.get(hostId)?.host;
+    if (host?.pool !== pool) return false;
+    if (label !== '' && !host.labels.includes(label)) return false;
+    if (perHostLimit === 0) return true;
+    const group = task.slice(0, task.lastIndexOf('.') + 1);
+    let beside = 0;
+    for (const [name, {open}] of tasks) {
+      if (name === task || !name.startsWith(group)) continue;
+      if ([...open.values()].includes(hostId)) beside += 1;
+    }
+    return beside < perHostLimit;
+  }
+
   function isOpen(workflow: Workflow, task: string): boolean {
     const [id, occurrence, stepIndex] = task.split('.');
     return workflow.steps[Number(stepIndex)].after.every(earlier =>
@@ -95,6 +125,7 @@
     const history = getHistory(event.task);
     history.open.delete(`${event.hostId}/${event.run}`);
     if (event.how === TaskEndKind.Done) history.done = true;
+    if (event.how === TaskEndKind.Alone) report(RunViolationKind.Alone, event);
     const number = (endCounts.get(event.hostId) ?? 0) + 1;
     endCounts.set(event.hostId, number);
     const pending = ends.get(event.hostId) ?? [];
@@ -118,6 +149,12 @@
   for (const event of events) {
     if (event.kind === FleetEventKind.Start) checkStart(event);
     if (event.kind === FleetEventKind.End) noteEnd(event);
+    if (event.kind === FleetEventKind.Leaving) {
+      leavingAt.set(event.hostId, event.at);
+    }
+    if (event.kind === FleetEventKind.Overfull) {
+      report(RunViolationKind.Overfull, event);
+    }
     if (event.kind === FleetEventKind.Seen) noteSeen(event);
     if (event.kind === FleetEventKind.Gone) {
       getHistory(event.task).open.delete(`${event.hostId}/${event.run}`);
--- a/src/history/workflows/run_violation.ts
+++ b/src/history/workflows/run_violation.ts
@@ -10,6 +10,14 @@
   OverBudget = 'over-budget',
   /** A run of a workflow that was cancelled or never submitted. */
   Unasked = 'unasked',
+  /** A run on a host of another pool, without the label it needs, or beyond the limit per host. */
+  WrongHost = 'wrong-host',
+  /** A run on a host that announced long before that it leaves. */
+  OnLeaving = 'on-leaving',
+  /** A run that brought its host over its capacity. */
+  Overfull = 'overfull',
+  /** A member of a gang whose others were never started. */
+  Alone = 'alone',
   /** An order for a machine under a lower fencing token than an earlier one. */
   OldHolder = 'old-holder',
   /** Orders of two holders for a machine too soon after each other. */
--- a/src/stand_ins/fleet/fleet_event.ts
+++ b/src/stand_ins/fleet/fleet_event.ts
@@ -10,6 +10,10 @@
   Seen = 'seen',
   /** An order for a machine was carried out. */
   Order = 'order',
+  /** A host has announced that it leaves. */
+  Leaving = 'leaving',
+  /** A start brought a host over its capacity. */
+  Overfull = 'overfull',
 }
 
 /** One thing that a stand-in fleet saw. */
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -12,6 +12,7 @@
 import {Machine, MachineState, TaskHost} from '../../types/workflow';
 import {KeyValue} from '../platform';
 import {FleetEvent, FleetEventKind} from './fleet_event';
+import {createGangs} from './gangs';
 import {TaskHostModel, createTaskHostModel} from './task_host_model';
 
 /** Prefix under which stand-in hosts register themselves. */
@@ -36,7 +37,9 @@
   /** Counts the starts that were ordered on lives which had ended. */
   countStartsAtGone(): number;
   /** Adds a machine; one of a spare pool is off. */
-  addMachine(pool: string, off?: boolean): string;
+  addMachine(pool: string, off?: boolean, labels?: readonly string[]): string;
+  /** Lets the host of a machine announce that it leaves. */
+  announceLeave(machine: string): void;
   /** Ends the life of a machine's host; with silence nothing answers at its address. */
   crash(machine: string, silent: boolean): void;
   /** Starts a new life on a machine. */
@@ -91,6 +94,8 @@
   const events: FleetEvent[] = [];
   const hosts = new Map<string, TaskHostModel>();
   const machines = new Map<string, Machine>();
+  const labelsOf = new Map<string, readonly string[]>();
+  const gangs = createGangs();
   const dead = new Set<string>();
   const faults: FleetCallFaults = {
     silent: new Set(),
@@ -124,13 +129,13 @@
       address: `address-${id}`,
       availabilityZone: 'zone-a',
       machine: id,
-      labels: [],
+      labels: labelsOf.get(id) ?? [],
       rack: `rack-${Number(id.split('-')[1]) % 3}`,
       capacity: {cpuMillis, memoryMb, accelerators: 0},
       draining: false,
       coldMs: 0,
     };
-    hosts.set(host.id, createTaskHostModel(host, longestHoldMs, record));
+    hosts.set(host.id, createTaskHostModel(host, longestHoldMs, record, gangs));
     setMachine(id, {state: MachineState.Up, hostId: host.id});
     putEntry(`${registry.prefix}${host.id}`, registry.write(host));
   }
@@ -218,13 +223,27 @@
     hosts,
     machines,
     countStartsAtGone: () => startsAtGone,
-    addMachine(pool, off = false) {
+    addMachine(pool, off = false, labels = []) {
       const id = `machine-${machines.size + 1}`;
+      labelsOf.set(id, labels);
       machines.set(id, {id, pool, state: MachineState.Up, hostId: ''});
       if (off) offPools.add(pool);
       else boot(id);
       return id;
     },
+    announceLeave(machine) {
+      const model = hosts.get(machines.get(machine)?.hostId ?? '');
+      if (!model) return;
+      const {host} = model;
+      const leaving = {...host, draining: true};
+      putEntry(`${registry.prefix}${host.id}`, registry.write(leaving));
+      record({
+        kind: FleetEventKind.Leaving,
+        hostId: host.id,
+        task: '',
+        run: 0,
+      });
+    },
     crash(machine, silent) {
       const {hostId = ''} = machines.get(machine) ?? {};
       if (silent) faults.silent.add(hostId);
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -14,6 +14,7 @@
   TaskHost,
 } from '../../types/workflow';
 import {FleetEventKind, RecordFleetEvent} from './fleet_event';
+import {GangMember, Gangs} from './gangs';
 
 /** How the tasks of a workflow behave on a stand-in host; written as JSON in its spec. */
 export interface TaskBehaviour {
@@ -32,6 +33,8 @@
   readonly tailMs?: number;
   /** A start needs the advice service's ticket. */
   readonly ticket?: boolean;
+  /** Members of the gang that the task belongs to; 0 without. */
+  readonly gangSize?: number;
 }
 
 /** Faults of a host; set by tests at any time. */
@@ -42,6 +45,8 @@
   hanging: boolean;
   /** What runs works this many times slower. */
   slowness: number;
+  /** The host starts whatever it is told to start. */
+  unguarded: boolean;
 }
 
 /** One life of a stand-in host that runs tasks, without any transport. */
@@ -70,6 +75,8 @@
   readonly fails: boolean;
   pace: number;
   timer: NodeJS.Timeout | undefined;
+  /** Tells the other members of its gang how it has ended. */
+  leaveGang: (done: boolean) => void;
 }
 
 /** Time of a stop in ms. */
@@ -81,15 +88,22 @@
  * @param host what it registers
  * @param longestHoldMs longest lease of its runs in ms
  * @param record told of starts and ends
+ * @param gangs runs of the whole fleet that work only together
  */
 export function createTaskHostModel(
   host: TaskHost,
   longestHoldMs: number,
   record: RecordFleetEvent,
+  gangs: Gangs,
 ): TaskHostModel {
   const runs = new Map<string, Run>();
   const over = new Map<string, number>();
-  const faults: TaskHostFaults = {failing: false, hanging: false, slowness: 1};
+  const faults: TaskHostFaults = {
+    failing: false,
+    hanging: false,
+    slowness: 1,
+    unguarded: false,
+  };
   const waiters = new Set<() => void>();
   const startedAt = performance.now();
   /** Clocks of hosts differ; this one started long ago. */
@@ -165,9 +179,30 @@
       run: run.run,
       how: kind,
     });
+    run.leaveGang(kind === TaskEndKind.Done);
     for (const wake of [...waiters]) wake();
   }
 
+  function work(run: Run): void {
+    if (run.behaviour.lasting || faults.hanging) return;
+    const how = run.fails ? TaskEndKind.Failed : TaskEndKind.Done;
+    run.timer = setTimeout(
+      () => end(run, how),
+      run.behaviour.workMs * faults.slowness,
+    );
+  }
+
+  function joinGang(run: Run, size: number): void {
+    const gang = `${run.task.slice(0, run.task.lastIndexOf('.'))}/${run.run}`;
+    const member: GangMember = {
+      begin: () => work(run),
+      giveUp: () => end(run, TaskEndKind.Alone),
+      endWith: done => end(run, done ? TaskEndKind.Done : TaskEndKind.Broken),
+    };
+    run.leaveGang = done => gangs.leave(gang, member, done);
+    gangs.join(gang, size, member);
+  }
+
   function listRunning(): readonly RunningTask[] {
     const fillers = [...runs.values()].filter(run => run.behaviour.fills);
     const disturbance = Math.max(0, ...fillers.map(run => run.pace)) / 100;
@@ -200,7 +235,11 @@
       if (behaviour.ticket && order.ticket !== `${step}@${host.id}`) {
         return answer(HostRefusal.Ticket);
       }
-      if (runs.has(task) || !fits(behaviour)) return answer(HostRefusal.NoRoom);
+      if (runs.has(task)) return answer(HostRefusal.NoRoom);
+      if (!fits(behaviour)) {
+        if (!faults.unguarded) return answer(HostRefusal.NoRoom);
+        record({kind: FleetEventKind.Overfull, hostId: host.id, task, run});
+      }
       const started: Run = {
         task,
         run,
@@ -209,16 +248,12 @@
         fails: faults.failing || run <= (behaviour.failures ?? 0),
         pace: 100,
         timer: undefined,
+        leaveGang: () => {},
       };
       runs.set(task, started);
       record({kind: FleetEventKind.Start, hostId: host.id, task, run});
-      if (!behaviour.lasting && !faults.hanging) {
-        const how = started.fails ? TaskEndKind.Failed : TaskEndKind.Done;
-        started.timer = setTimeout(
-          () => end(started, how),
-          behaviour.workMs * faults.slowness,
-        );
-      }
+      if (behaviour.gangSize) joinGang(started, behaviour.gangSize);
+      else work(started);
       return answer();
     },
     stop({task, run, fence: by}) {
@@ -278,6 +313,7 @@
       for (const run of [...runs.values()]) {
         clearTimeout(run.timer);
         runs.delete(run.task);
+        run.leaveGang(false);
         record({
           kind: FleetEventKind.Gone,
           hostId: host.id,
--- a/src/stand_ins/users_platform/users_platform.ts
+++ b/src/stand_ins/users_platform/users_platform.ts
@@ -16,12 +16,21 @@
   /** Writes the operator's configuration. */
   configure(configuration: object): void;
   /** Declares a wave. */
-  declareWave(wave: {readonly wave: number} & object): void;
+  declareWave(wave: DeclaredWave): void;
   /** Returns what was reported of a wave; undefined before. */
   readWaveState(wave: number): string | undefined;
   dispose(): void;
 }
 
+/** A wave as the operator writes it. */
+export interface DeclaredWave {
+  readonly wave: number;
+  readonly machines: readonly string[];
+  readonly durationS: number;
+  /** Most machines that may be down for it at once. */
+  readonly cap: number;
+}
+
 /** What the stand-in plays. */
 export interface UsersPlatformOptions {
   /** Machines by pool. */
