--- a/features/workflows/rules.feature
+++ b/features/workflows/rules.feature
@@ -60,8 +60,8 @@
 
   @promise-long-work @failure-crash
   Scenario: MIXED: nobody tells that a workflow is complete before its last task is done
-    Given 3 entry hosts and 3 hosts for workflows
-    When a workflow of 9 tasks of 1500 ms is submitted
+    Given 3 entry hosts and 2 hosts for workflows
+    When a workflow of 40 tasks of 1500 ms is submitted
     And 500 ms pass
     And the leader is killed
     Then no entry host tells that it is complete before its last task is done
