--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -99,7 +99,8 @@
   let newest: FleetConfiguration | undefined;
   let coordinator: Coordinator | undefined;
   let keeper: MachineKeeper | undefined;
-  let waves: Mirror<MaintenanceWave> | undefined;
+  /** What only the leader follows. */
+  let followed: readonly Mirror<unknown>[] = [];
   const following = {waitMs: WATCH_WAIT_MS, retryMs: RETRY_MS};
   const configuration = createMirror<FleetConfiguration>(
     store,
@@ -110,11 +111,6 @@
     ...following,
     paceMs: LIVE_PACE_MS,
   });
-  const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
-    ...following,
-    paceMs: REGISTRY_PACE_MS,
-    decode: entry => registryKeys.read(entry),
-  });
   const leadership = createLeadership({
     store,
     memberId,
@@ -122,6 +118,16 @@
     standDelayMs: processorShare < LEADER_SHARE ? WEAK_DELAY_MS : 0,
     log,
     onElected(term) {
+      const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
+        ...following,
+        paceMs: REGISTRY_PACE_MS,
+        decode: entry => registryKeys.read(entry),
+      });
+      const waves = createMirror<MaintenanceWave>(store, waveKeys.prefix, {
+        ...following,
+        decode: entry => waveKeys.read(entry),
+      });
+      followed = [registry, waves];
       coordinator = createCoordinator({
         store,
         hosts,
@@ -133,10 +139,6 @@
         log,
         onFenced: cause => leadership.resign(cause),
       });
-      waves = createMirror<MaintenanceWave>(store, waveKeys.prefix, {
-        ...following,
-        decode: entry => waveKeys.read(entry),
-      });
       keeper = createMachineKeeper({
         store,
         machines,
@@ -152,8 +154,8 @@
     },
     onDeposed() {
       keeper?.dispose();
-      waves?.dispose();
       coordinator?.dispose();
+      for (const mirror of followed) mirror.dispose();
       coordinator = undefined;
     },
   });
@@ -193,7 +195,7 @@
     readPools: () => coordinator?.readPools() ?? [],
     async dispose() {
       await leadership.dispose();
-      for (const mirror of [configuration, live, registry]) mirror.dispose();
+      for (const mirror of [configuration, live]) mirror.dispose();
     },
   };
 }
