Order machines by the rate of arrivals, and leave pools whose demand is unknown

Change: decisions/demand_forecast.ts: rate times work of the last second; what is only expected takes spare machines, never another pool's. Pools of which this leader has seen no work keep their size for 30 s. Test: policies.feature, four scenarios without a network.

--- /dev/null
+++ b/features/workflows/policies.steps.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  DemandForecast,
+  MachineMove,
+  MachineView,
+  PoolView,
+  createDemandForecast,
+  planPools,
+} from '../../src/decisions/workflows';
+import {MachineState} from '../../src/types/workflow';
+
+const POOL = 'planner-api';
+const SPARE = 'backoffice';
+const MACHINE_CPU_MILLIS = 16_000;
+/** Machines that a pool keeps at the least, in these scenarios. */
+const FLOOR = 4;
+const RELEASE_AFTER_MS = 2_200;
+const CPU_MILLIS_PER_CORE = 1_000;
+
+let forecast: DemandForecast;
+let now = 0;
+let machines: MachineView[] = [];
+let pools: PoolView[] = [];
+let moves: readonly MachineMove[] = [];
+
+Given("a forecast of a pool's demand", () => {
+  forecast = createDemandForecast();
+  now = 0;
+});
+
+When(
+  '{int} workflows a second of {int} core-seconds each come in for {int} ms',
+  (perSecond: number, coreSeconds: number, lastsMs: number) => {
+    const work = coreSeconds * 1_000 * CPU_MILLIS_PER_CORE;
+    const until = now + lastsMs;
+    for (; now < until; now += 1_000 / perSecond) {
+      forecast.observe(POOL, work, now);
+    }
+  },
+);
+
+When('{int} s pass without arrivals', (seconds: number) => {
+  now += seconds * 1_000;
+});
+
+Then(
+  'the expected use is between {int} and {int} cores',
+  (least: number, most: number) => {
+    const cores = forecast.expect(POOL, now) / CPU_MILLIS_PER_CORE;
+    assert.ok(cores >= least && cores <= most, String(cores));
+  },
+);
+
+function createMachines(pool: string, count: number): MachineView[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `${pool}-${index}`,
+    pool,
+    state: MachineState.Up,
+    hostId: pool === SPARE ? '' : `host-${pool}-${index}`,
+    tasks: 0,
+    lasting: 0,
+    serves: pool !== SPARE,
+    cordoned: false,
+    idleMs: 0,
+    ordered: false,
+  }));
+}
+
+function createPool(name: string, change: Partial<PoolView> = {}): PoolView {
+  return {
+    name,
+    spare: false,
+    demandCpuMillis: 0,
+    expectedCpuMillis: 0,
+    leastHosts: 0,
+    unknown: false,
+    ...change,
+  };
+}
+
+function plan(): void {
+  moves = planPools(pools, machines, {
+    machineCpuMillis: MACHINE_CPU_MILLIS,
+    floor: FLOOR,
+    releaseAfterMs: RELEASE_AFTER_MS,
+  });
+}
+
+Given(
+  '{int} machines in {string}, {int} in {string} and {int} spare ones',
+  (
+    first: number,
+    firstPool: string,
+    second: number,
+    secondPool: string,
+    spare: number,
+  ) => {
+    machines = [
+      ...createMachines(firstPool, first),
+      ...createMachines(secondPool, second),
+      ...createMachines(SPARE, spare),
+    ];
+    pools = [
+      createPool(firstPool),
+      createPool(secondPool),
+      createPool(SPARE, {spare: true}),
+    ];
+  },
+);
+
+When(
+  '{string} has work for {int} machines and expects {int}',
+  (name: string, has: number, expects: number) => {
+    pools = pools.map(pool =>
+      pool.name === name
+        ? {
+            ...pool,
+            demandCpuMillis: has * MACHINE_CPU_MILLIS,
+            expectedCpuMillis: expects * MACHINE_CPU_MILLIS,
+          }
+        : pool,
+    );
+    plan();
+  },
+);
+
+When(
+  'nothing is known of {string} and every machine is idle for {int} s',
+  (name: string, seconds: number) => {
+    pools = pools.map(pool => ({...pool, unknown: pool.name === name}));
+    machines = machines.map(machine => ({
+      ...machine,
+      idleMs: seconds * 1_000,
+    }));
+    plan();
+  },
+);
+
+function countSpare(): number {
+  return moves.filter(({from}) => from === SPARE).length;
+}
+
+Then(
+  '{int} machines are to move to {string}, all of them spare',
+  (count: number, pool: string) => {
+    assert.equal(moves.filter(({to}) => to === pool).length, count);
+    assert.equal(countSpare(), count);
+  },
+);
+
+Then(
+  '{int} machines are to move to {string}, {int} of them spare',
+  (count: number, pool: string, spare: number) => {
+    assert.equal(moves.filter(({to}) => to === pool).length, count);
+    assert.equal(countSpare(), spare);
+  },
+);
+
+Then(
+  'machines of {string} only are to move to the spare pool',
+  (pool: string) => {
+    assert.ok(moves.length > 0);
+    assert.ok(moves.every(({from, to}) => from === pool && to === SPARE));
+  },
+);
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -1,10 +1,12 @@
 import {
+  DemandForecast,
   LoadReport,
   StoredProgress,
   StoredState,
   TaskPhase,
   TaskRecord,
   WorkflowRecord,
+  createDemandForecast,
   createRunTimes,
   createWorkflowRecord,
   forEachTask,
@@ -46,6 +48,8 @@
   /** Sessions by host id. */
   readonly sessions: ReadonlyMap<string, HostSession>;
   readonly records: ReadonlyMap<string, WorkflowRecord>;
+  /** What came in lately. */
+  readonly forecast: DemandForecast;
   /** True once everything stored was read. */
   isReady(): boolean;
   /** Returns work and room of each pool. */
@@ -125,6 +129,7 @@
   /** Workflows whose keys are being deleted. */
   const removing = new Set<string>();
   const runTimes = createRunTimes();
+  const forecast = createDemandForecast();
   const abort = new AbortController();
   const stops: (() => void)[] = [];
   const sessions = createHostSessions(registry, openSession);
@@ -216,9 +221,18 @@
       performance.now(),
     );
     records.set(id, record);
+    if (ready) forecastWork(workflow);
     if (live.entries.get().has(getCancelKey(id))) cancel(record);
   }
 
+  function forecastWork({queue, pool, steps, firstAt}: Workflow): void {
+    if (firstAt > 0 || steps.some(step => step.lasting)) return;
+    const work = steps.reduce((sum, {taskCount, cpuMillis, estimateMs}) => {
+      return sum + taskCount * cpuMillis * runTimes.expect(queue, estimateMs);
+    }, 0);
+    forecast.observe(pool, work, performance.now());
+  }
+
   /** Holds every host, and every one on which an earlier leader may have placed a task. */
   function takeOver(count: number): void {
     ready = true;
@@ -384,6 +398,7 @@
   return {
     sessions: sessions.all,
     records,
+    forecast,
     isReady: () => ready,
     mayEnd(task) {
       const record = records.get(task.workflow.id);
--- a/src/actors/workflows/machine_keeper.ts
+++ b/src/actors/workflows/machine_keeper.ts
@@ -81,6 +81,8 @@
 const HOLDER_SLACK_MS = 250;
 /** Share of the machines per pool that a pool keeps in quiet times. */
 const FLOOR_SHARE = 0.5;
+/** Time in ms for which a leader leaves pools as they are whose work it has not seen yet: the longest pause between the turns of a queue. */
+const LEARN_MS = 30_000;
 /** Idle time in ms after which a machine costs more than two moves, by the users' prices. */
 const RELEASE_AFTER_MS = 2_200;
 
@@ -300,11 +302,15 @@
       demand.set(pool, sum);
     }
     const configured = getConfiguration()?.pools ?? new Map();
+    const now = performance.now();
+    const learning = now < startedAt + LEARN_MS;
     return [...configured.values()].map(({name, spare}) => ({
       name,
       spare,
       demandCpuMillis: demand.get(name) ?? 0,
+      expectedCpuMillis: coordinator.forecast.expect(name, now),
       leastHosts: least.get(name) ?? 0,
+      unknown: learning && !coordinator.forecast.knows(name),
     }));
   }
 
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -1,5 +1,6 @@
 /** Workflows as their leader keeps them, and pure decisions about them. */
 export * from './admission';
+export * from './demand_forecast';
 export * from './encode_progress';
 export * from './host_room';
 export * from './machine_view';
--- a/src/decisions/workflows/plan_pools.ts
+++ b/src/decisions/workflows/plan_pools.ts
@@ -8,8 +8,12 @@
   readonly spare: boolean;
   /** Work that runs or could run now, in thousandths of a processor. */
   readonly demandCpuMillis: number;
+  /** Work that is expected to run soon, in thousandths of a processor. */
+  readonly expectedCpuMillis: number;
   /** Hosts that its work needs however small it is, as tasks must be apart. */
   readonly leastHosts: number;
+  /** Nothing is known yet of its work: its size is the operator's, and stays. */
+  readonly unknown: boolean;
 }
 
 /** A machine to move to another pool. */
@@ -52,11 +56,17 @@
   for (const machine of machines) byPool.get(machine.pool)?.push(machine);
   const sizes = new Map<string, number>();
   const needs = new Map<string, number>();
+  const expected = new Map<string, number>();
   for (const pool of pools) {
     if (pool.spare) continue;
     sizes.set(pool.name, countPresent(byPool.get(pool.name) ?? []));
-    const room = (pool.demandCpuMillis * HEADROOM) / machineCpuMillis;
-    needs.set(pool.name, Math.max(Math.ceil(room), pool.leastHosts));
+    const count = (cpuMillis: number) =>
+      Math.ceil((cpuMillis * HEADROOM) / machineCpuMillis);
+    needs.set(
+      pool.name,
+      Math.max(count(pool.demandCpuMillis), pool.leastHosts),
+    );
+    expected.set(pool.name, count(pool.expectedCpuMillis));
   }
   const moves: MachineMove[] = [];
   const taken = new Set<string>();
@@ -73,25 +83,31 @@
   }
 
   function surplus(pool: string): number {
-    const need = Math.max(floor, needs.get(pool) ?? 0);
+    const need = Math.max(floor, needs.get(pool) ?? 0, expected.get(pool) ?? 0);
     return (sizes.get(pool) ?? 0) - need;
   }
 
   const short = [...needs.keys()].sort((a, b) => surplus(a) - surplus(b));
   for (const pool of short) {
-    let missing = (needs.get(pool) ?? 0) - (sizes.get(pool) ?? 0);
     for (const machine of listGivers(byPool, spare?.name, pool)) {
-      if (missing <= 0) break;
+      // What is only expected takes no machine from another pool.
+      const isSpare = machine.pool === spare?.name;
+      const need = needs.get(pool) ?? 0;
+      const wanted = isSpare ? Math.max(need, expected.get(pool) ?? 0) : need;
+      if ((sizes.get(pool) ?? 0) >= wanted) break;
       if (taken.has(machine.id)) continue;
-      if (machine.pool !== spare?.name && surplus(machine.pool) <= 0) continue;
+      if (!isSpare && surplus(machine.pool) <= 0) continue;
       move(machine, pool);
-      missing -= 1;
     }
   }
   if (!spare) return moves;
+  const unknown = new Set(
+    pools.filter(pool => pool.unknown).map(({name}) => name),
+  );
   for (const machine of machines) {
     if (taken.has(machine.id) || machine.pool === spare.name) continue;
     if (!isMovable(machine) || machine.hostId === '') continue;
+    if (unknown.has(machine.pool)) continue;
     if (machine.idleMs < releaseAfterMs || surplus(machine.pool) <= 0) continue;
     move(machine, spare.name);
   }
