Judge hosts by the ends of their runs, and move runs that stand still

Cause: a host whose health check is good while it fails, stalls or slows all that it runs kept getting tasks; a run that stands still was never given up. Change: decisions/host_health.ts (failures of several workflows in a row, stalls, multiples of the expected run time); a sick host gets no task for 3 to 12 s, a doubtful one only what finds no other room; at most a quarter of a pool counts as sick. A run without progress for 2.5 s is stopped and runs elsewhere. Test: sick_hosts.feature, four scenarios; with the stall time put off the first does not end, without the count of failures the second and third fail.

--- /dev/null
+++ b/features/workflows/sick_hosts.steps.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  HostHealth,
+  HostTrust,
+  createHostHealth,
+} from '../../src/decisions/workflows';
+import {FleetEventKind} from '../../src/stand_ins/fleet';
+import {TaskEndKind} from '../../src/types/workflow';
+import {getWorld} from './running.steps';
+
+const HOST = 'host-1';
+
+let health: HostHealth;
+let now = 0;
+
+When('one host lets all that it starts stand still', () => {
+  const [host] = getWorld().fleet.hosts.values();
+  host.faults.hanging = true;
+});
+
+Then('at most {int} runs have failed', (limit: number) => {
+  const failed = getWorld().fleet.events.filter(
+    ({kind, how}) => kind === FleetEventKind.End && how === TaskEndKind.Failed,
+  );
+  assert.ok(failed.length > 0 && failed.length <= limit, `${failed.length}`);
+});
+
+Given('a record of hosts', () => {
+  health = createHostHealth();
+  now = 1_000;
+});
+
+When(
+  '{int} workflows fail {int} times each on a host',
+  (workflows: number, times: number) => {
+    for (let index = 0; index < workflows * times; index += 1) {
+      health.noteFailure(HOST, `workflow-${index % workflows}`, now);
+    }
+  },
+);
+
+When('a third workflow fails there too', () => {
+  health.noteFailure(HOST, 'workflow-3', now);
+});
+
+When('a run is done there', () => health.noteDone(HOST, 1, now));
+
+When(
+  '{int} runs are done there in {int} times their expected time',
+  (count: number, slowness: number) => {
+    for (let index = 0; index < count; index += 1) {
+      health.noteDone(HOST, slowness, now);
+    }
+  },
+);
+
+When('{int} s pass on the record', (seconds: number) => {
+  now += seconds * 1_000;
+});
+
+Then('the host is {string}', (trust: HostTrust) => {
+  assert.equal(health.judge(HOST, now), trust);
+});
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -40,6 +40,7 @@
 import {createLoadReporter} from './load_reporter';
 import {readPoolGauges} from './pool_gauges';
 import {createRunEnds, listMembers} from './run_ends';
+import {createSickHosts} from './sick_hosts';
 import {createTaskPlacer} from './task_placer';
 import {createTicketOffice} from './ticket_office';
 
@@ -132,10 +133,13 @@
   const forecast = createDemandForecast();
   const abort = new AbortController();
   const stops: (() => void)[] = [];
-  const sessions = createHostSessions(registry, openSession);
+  const sessions = createHostSessions(registry, openSession, usable =>
+    sick.filter(usable),
+  );
+  const sick = createSickHosts(sessions.all, log);
   const tickets = createTicketOffice(advice, log, schedule);
   const pacing = createFillerPacing(sessions.all, log);
-  const ends = createRunEnds(runTimes, finish, log);
+  const ends = createRunEnds(runTimes, sick, finish, log);
   const placer = createTaskPlacer({
     records,
     sessions,
@@ -204,6 +208,7 @@
       sessions.evacuate();
       schedule();
       pacing.review();
+      sick.review();
       void load.review();
     }, REVIEW_MS);
     const clean = setInterval(cleanUp, CLEAN_MS);
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -499,6 +499,7 @@
     groups: new Map(),
     serving: 0,
     filling: 0,
+    doubtful: false,
   };
   for (const task of tasks) takeRoom(room, task.step, task.group);
   return room;
--- a/src/actors/workflows/host_sessions.ts
+++ b/src/actors/workflows/host_sessions.ts
@@ -30,10 +30,14 @@
  *
  * @param registry hosts as they registered themselves
  * @param open opens the session with one life of a host
+ * @param filter leaves out hosts of a pool that are not to be used
  */
 export function createHostSessions(
   registry: Mirror<TaskHost>,
   open: (host: TaskHost) => HostSession,
+  filter: (
+    sessions: readonly HostSession[],
+  ) => readonly HostSession[] = usable => usable,
 ): HostSessions {
   const all = new Map<string, HostSession>();
   const drainingSince = new Map<string, number>();
@@ -65,9 +69,10 @@
   }
 
   function listUsable(pool: string): readonly HostSession[] {
-    return [...all.values()].filter(
+    const usable = [...all.values()].filter(
       session => session.room.host.pool === pool && session.isUsable(),
     );
+    return filter(usable);
   }
 
   function hasRoomFor({step, group, workflow}: TaskRecord): boolean {
--- a/src/actors/workflows/run_ends.ts
+++ b/src/actors/workflows/run_ends.ts
@@ -8,6 +8,7 @@
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {TaskEnd, TaskEndKind, WorkflowState} from '../../types/workflow';
+import {SickHosts} from './sick_hosts';
 
 /** Takes what hosts tell about the ends of runs into the workflows. */
 export interface RunEnds {
@@ -19,11 +20,13 @@
  * Creates the reader of ends.
  *
  * @param runTimes told of runs that were done
+ * @param sick told how runs have ended, by host
  * @param finish ends a workflow
  * @param log told of failed runs
  */
 export function createRunEnds(
   runTimes: RunTimes,
+  sick: SickHosts,
   finish: (record: WorkflowRecord, state: WorkflowState, cause: string) => void,
   log: Log,
 ): RunEnds {
@@ -51,6 +54,7 @@
   ): void {
     task.failures += 1;
     task.avoid.add(hostId);
+    sick.noteFailure(task, hostId);
     log.info('run failed', {
       request: record.workflow.id,
       task: task.name,
@@ -78,7 +82,10 @@
         if (placement) {
           const realMs = performance.now() - placement.orderedAt;
           const {queue} = task.workflow;
-          runTimes.observe(queue, task.step.estimateMs, realMs);
+          const {estimateMs} = task.step;
+          const expectedMs = Math.max(1, runTimes.expect(queue, estimateMs));
+          sick.noteDone(placement.hostId, realMs / expectedMs);
+          runTimes.observe(queue, estimateMs, realMs);
         }
         return noteDone(record, task);
       }
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -14,6 +14,8 @@
   serving: number;
   /** Tasks that use what others leave. */
   filling: number;
+  /** Its host is used only if no sound one has room. */
+  doubtful: boolean;
 }
 
 /** Returns what a task takes of a host's room. */
--- a/src/decisions/workflows/place_tasks.ts
+++ b/src/decisions/workflows/place_tasks.ts
@@ -12,6 +12,7 @@
 const AVOID_MALUS = 1e9;
 const COLD_MALUS = 1e7;
 const HARM_MALUS = 1e8;
+const DOUBT_MALUS = 5e8;
 
 /**
  * Places the waiting tasks of one group, as many as find room, and takes that room.
@@ -83,11 +84,12 @@
 }
 
 function scoreRoom({step, avoid}: TaskRecord, room: HostRoom): number {
-  const {host, free, serving, filling} = room;
+  const {host, free, serving, filling, doubtful} = room;
   // The fullest host that has room, so that others stay empty.
   let score = -free.cpuMillis;
   if (step.dataRack !== '' && host.rack === step.dataRack) score += RACK_BONUS;
   if (avoid.has(host.id)) score -= AVOID_MALUS;
+  if (doubtful) score -= DOUBT_MALUS;
   if (host.coldMs > 0) score -= COLD_MALUS;
   if (step.fills) score -= HARM_MALUS * serving;
   if (step.tailTargetMs > 0) score -= HARM_MALUS * filling;
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -73,6 +73,8 @@
   readonly behaviour: TaskBehaviour;
   readonly startedAt: number;
   readonly fails: boolean;
+  /** It never gets on. */
+  readonly stalled: boolean;
   pace: number;
   timer: NodeJS.Timeout | undefined;
   /** Tells the other members of its gang how it has ended. */
@@ -184,7 +186,7 @@
   }
 
   function work(run: Run): void {
-    if (run.behaviour.lasting || faults.hanging) return;
+    if (run.behaviour.lasting || run.stalled) return;
     const how = run.fails ? TaskEndKind.Failed : TaskEndKind.Done;
     run.timer = setTimeout(
       () => end(run, how),
@@ -203,20 +205,22 @@
     gangs.join(gang, size, member);
   }
 
+  function getPercent({behaviour, stalled, startedAt: at}: Run): number {
+    if (behaviour.lasting) return 100;
+    if (stalled) return 0;
+    const part = (performance.now() - at) / behaviour.workMs;
+    return Math.min(99, Math.floor(part * 100));
+  }
+
   function listRunning(): readonly RunningTask[] {
     const fillers = [...runs.values()].filter(run => run.behaviour.fills);
     const disturbance = Math.max(0, ...fillers.map(run => run.pace)) / 100;
-    return [...runs.values()].map(({task, run, behaviour, startedAt: at}) => ({
-      task,
-      run,
+    return [...runs.values()].map(run => ({
+      task: run.task,
+      run: run.run,
       checkpoint: '',
-      percent: behaviour.lasting
-        ? 100
-        : Math.min(
-            99,
-            Math.floor(((performance.now() - at) * 100) / behaviour.workMs),
-          ),
-      load: (behaviour.tailMs ?? 0) * disturbance,
+      percent: getPercent(run),
+      load: (run.behaviour.tailMs ?? 0) * disturbance,
     }));
   }
 
@@ -245,6 +249,7 @@
         run,
         behaviour,
         startedAt: performance.now(),
+        stalled: faults.hanging,
         fails: faults.failing || run <= (behaviour.failures ?? 0),
         pace: 100,
         timer: undefined,
