Let a pool be known for a while before it releases machines

A few arrivals of large work within half a second were taken for a rate twice as high. Change: machines are released once the pool is known for as long as they have to be idle; under ten arrivals count over the whole second. Test: policies.feature (pools known since 0 ms keep their machines).

--- a/features/workflows/policies.steps.ts
+++ b/features/workflows/policies.steps.ts
@@ -74,7 +74,7 @@
     demandCpuMillis: 0,
     expectedCpuMillis: 0,
     leastHosts: 0,
-    unknown: false,
+    knownMs: 60_000,
     ...change,
   };
 }
@@ -128,7 +128,9 @@
 When(
   'nothing is known of {string} and every machine is idle for {int} s',
   (name: string, seconds: number) => {
-    pools = pools.map(pool => ({...pool, unknown: pool.name === name}));
+    pools = pools.map(pool =>
+      pool.name === name ? {...pool, knownMs: 0} : pool,
+    );
     machines = machines.map(machine => ({
       ...machine,
       idleMs: seconds * 1_000,
--- a/src/actors/workflows/machine_keeper.ts
+++ b/src/actors/workflows/machine_keeper.ts
@@ -303,14 +303,14 @@
     }
     const configured = getConfiguration()?.pools ?? new Map();
     const now = performance.now();
-    const learning = now < startedAt + LEARN_MS;
+    const learnt = now > startedAt + LEARN_MS;
     return [...configured.values()].map(({name, spare}) => ({
       name,
       spare,
       demandCpuMillis: demand.get(name) ?? 0,
       expectedCpuMillis: coordinator.forecast.expect(name, now),
       leastHosts: least.get(name) ?? 0,
-      unknown: learning && !coordinator.forecast.knows(name),
+      knownMs: learnt ? LEARN_MS : coordinator.forecast.getKnownMs(name, now),
     }));
   }
 
--- a/src/decisions/workflows/demand_forecast.ts
+++ b/src/decisions/workflows/demand_forecast.ts
@@ -4,8 +4,8 @@
   observe(pool: string, work: number, now: number): void;
   /** Returns the expected use of a pool, in thousandths of a processor. */
   expect(pool: string, now: number): number;
-  /** Tells whether any work of a pool was seen. */
-  knows(pool: string): boolean;
+  /** Returns the time in ms since a pool's first work was seen; 0 before. */
+  getKnownMs(pool: string, now: number): number;
 }
 
 interface Arrival {
@@ -17,6 +17,10 @@
 const WINDOW_MS = 1_000;
 /** Least arrivals in the window that tell a rate: fewer may be chance. */
 const LEAST_ARRIVALS = 3;
+/** Arrivals that tell a rate, within a third, in less than the window. */
+const CLEAR_ARRIVALS = 10;
+/** Shortest time in ms over which arrivals are counted: three reviews of the pools. */
+const LEAST_WINDOW_MS = 300;
 
 /**
  * Answers queues that ask in turns for several times their mean: work that comes
@@ -25,9 +29,11 @@
  */
 export function createDemandForecast(): DemandForecast {
   const arrivals = new Map<string, Arrival[]>();
+  const firstAt = new Map<string, number>();
 
   return {
     observe(pool, work, now) {
+      if (!firstAt.has(pool)) firstAt.set(pool, now);
       const list = arrivals.get(pool) ?? [];
       list.push({at: now, work});
       arrivals.set(pool, list);
@@ -39,9 +45,12 @@
       if (arrivals.has(pool)) arrivals.set(pool, recent);
       if (recent.length < LEAST_ARRIVALS) return 0;
       // At a turn's start the window is as long as the turn so far.
-      const lasted = Math.max(WINDOW_MS / 2, now - recent[0].at);
+      const lasted =
+        recent.length < CLEAR_ARRIVALS
+          ? WINDOW_MS
+          : Math.max(LEAST_WINDOW_MS, now - recent[0].at);
       return recent.reduce((sum, {work}) => sum + work, 0) / lasted;
     },
-    knows: pool => arrivals.has(pool),
+    getKnownMs: (pool, now) => now - (firstAt.get(pool) ?? now),
   };
 }
--- a/src/decisions/workflows/plan_pools.ts
+++ b/src/decisions/workflows/plan_pools.ts
@@ -12,8 +12,8 @@
   readonly expectedCpuMillis: number;
   /** Hosts that its work needs however small it is, as tasks must be apart. */
   readonly leastHosts: number;
-  /** Nothing is known yet of its work: its size is the operator's, and stays. */
-  readonly unknown: boolean;
+  /** Time in ms since its first work was seen; until then its size is the operator's, and stays. */
+  readonly knownMs: number;
 }
 
 /** A machine to move to another pool. */
@@ -101,13 +101,13 @@
     }
   }
   if (!spare) return moves;
-  const unknown = new Set(
-    pools.filter(pool => pool.unknown).map(({name}) => name),
+  const known = new Set(
+    pools.filter(pool => pool.knownMs >= releaseAfterMs).map(({name}) => name),
   );
   for (const machine of machines) {
     if (taken.has(machine.id) || machine.pool === spare.name) continue;
     if (!isMovable(machine) || machine.hostId === '') continue;
-    if (unknown.has(machine.pool)) continue;
+    if (!known.has(machine.pool)) continue;
     if (machine.idleMs < releaseAfterMs || surplus(machine.pool) <= 0) continue;
     move(machine, spare.name);
   }
