--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -17,6 +17,7 @@
 import {TaskEnd, TaskHost} from '../../types/workflow';
 import {createEndReceipts} from './end_receipts';
 import {createHostClock} from './host_clock';
+import {createRunOrders} from './run_orders';
 
 /** What the leader has with one host: its lease, its runs and their ends. */
 export interface HostSession {
@@ -134,6 +135,24 @@
   let holding = false;
   let failing = false;
   let wake: (() => void) | undefined;
+  const orders = createRunOrders({
+    hosts,
+    address,
+    fence,
+    signal: abort.signal,
+    isCurrent,
+    nextLease,
+    onAnswer: answer => clock.observe(answer.clockMs),
+    onFailure: noteFailure,
+    onSettled: settle,
+    onStarted: onBegun,
+    onRefused(task, cause) {
+      log.info('start refused', {task: task.name, host: host.id, cause});
+      lose(task, cause);
+      onNews();
+    },
+    onFenced,
+  });
 
   async function hold(): Promise<void> {
     if (holding) return;
@@ -338,50 +357,6 @@
     );
   }
 
-  async function start(task: TaskRecord, ticket: string): Promise<void> {
-    const {placement} = task;
-    if (!placement || !isCurrent(task, placement)) return;
-    if (placement.stopping) return lose(task, 'stopped before its start');
-    let unanswered = false;
-    let untilMs: number | undefined;
-    void hold();
-    while (isCurrent(task, placement) && !placement.stopping) {
-      untilMs ??= nextLease();
-      if (untilMs === undefined) {
-        await delay(RETRY_MS, abort.signal);
-        continue;
-      }
-      const answer = await hosts.start(address, {
-        task: task.name,
-        run: placement.run,
-        spec: task.workflow.spec,
-        fence,
-        untilMs,
-        checkpoint: task.checkpoint,
-        ticket,
-      });
-      if (!isCurrent(task, placement)) return;
-      if (answer.isOk) {
-        clock.observe(answer.value.clockMs);
-        const {refusal} = answer.value;
-        if (refusal === HostRefusal.Fenced) return onFenced();
-        if (refusal === undefined || refusal === HostRefusal.OldRun) {
-          if (placement.stopping) break;
-          settle(placement);
-          return onBegun(task);
-        }
-        return giveUp(task, placement, unanswered, refusal);
-      }
-      noteFailure('start', answer.error);
-      if (answer.error !== HostCallFailure.NoAnswer) {
-        return giveUp(task, placement, unanswered, answer.error);
-      }
-      unanswered = true;
-      await delay(RETRY_MS, abort.signal);
-    }
-    if (isCurrent(task, placement)) return stop(task, placement);
-  }
-
   /** Reports that are made from now on must list the run. */
   function settle(placement: Placement): void {
     placement.confirmed = true;
@@ -389,39 +364,6 @@
     void hold();
   }
 
-  /** An order that was refused was not carried out, but an earlier copy of it may be. */
-  function giveUp(
-    task: TaskRecord,
-    placement: Placement,
-    unanswered: boolean,
-    cause: string,
-  ): void {
-    if (unanswered) return void stop(task, placement);
-    log.info('start refused', {task: task.name, host: host.id, cause});
-    lose(task, cause);
-    onNews();
-  }
-
-  async function stop(task: TaskRecord, placement: Placement): Promise<void> {
-    placement.stopping = true;
-    while (isCurrent(task, placement)) {
-      const answer = await hosts.stop(address, {
-        task: task.name,
-        run: placement.run,
-        fence,
-      });
-      if (!isCurrent(task, placement)) return;
-      if (answer.isOk) {
-        if (answer.value.refusal === HostRefusal.Fenced) return onFenced();
-        placement.stoppedAt = performance.now();
-        settle(placement);
-        return;
-      }
-      noteFailure('stop', answer.error);
-      await delay(RETRY_MS, abort.signal);
-    }
-  }
-
   void hold();
 
   return {
@@ -461,7 +403,13 @@
       void hold();
     },
     add: task => void tasks.set(task.name, task),
-    start: (task, ticket) => void start(task, ticket),
+    start(task, ticket) {
+      const {placement} = task;
+      if (!placement || !isCurrent(task, placement)) return;
+      if (placement.stopping) return lose(task, 'stopped before its start');
+      void hold();
+      void orders.start(task, placement, ticket);
+    },
     stop(task, cause) {
       const {placement} = task;
       if (!placement || placement.stopping) return;
@@ -474,17 +422,13 @@
       placement.stopping = true;
       // A start that is under way ends its own loop with the stop.
       if (placement.settledReport !== Infinity || placement.confirmed) {
-        void stop(task, placement);
+        void orders.stop(task, placement);
       }
     },
     pace(task, percent) {
       const {placement} = task;
       if (!placement || placement.pace === percent) return;
-      placement.pace = percent;
-      const order = {task: task.name, run: placement.run, fence};
-      void hosts.pace(address, order, percent).then(answer => {
-        if (answer.isErr || answer.value.refusal) placement.pace = -1;
-      });
+      void orders.pace(task, placement, percent);
     },
     conclude: endLife,
     isIdle: () => tasks.size === 0 && (!listed || gone),
