--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -1,8 +1,6 @@
 import {
   DemandForecast,
   LoadReport,
-  StoredProgress,
-  StoredState,
   TaskPhase,
   TaskRecord,
   WorkflowRecord,
@@ -13,9 +11,9 @@
   isFinal,
   mayEnd,
 } from '../../decisions/workflows';
-import {Store, StoreEntry} from '../../ports';
+import {Store} from '../../ports';
 import {HostRefusal, PlacementAdvice, TaskHosts} from '../../ports/hosts';
-import {Mirror, createMirror, delay} from '../../state';
+import {Mirror, createMirror} from '../../state';
 import {Log, PoolGauge} from '../../telemetry';
 import {TaskEnd, TaskHost, Workflow, WorkflowState} from '../../types/workflow';
 import {createFillerPacing} from './filler_pacing';
@@ -25,22 +23,20 @@
 import {
   CANCEL_PREFIX,
   LEADER_KEY,
-  LEDGER_KEY,
   LOAD_KEY,
-  PROGRESS_PREFIX,
-  STATE_PREFIX,
   WORK_PREFIX,
   getCancelKey,
   getProgressKey,
   getStateKey,
-  getWorkKey,
 } from './keys';
 import {Term} from './leadership';
 import {Ledger, createLedger} from './ledger';
 import {createLoadReporter} from './load_reporter';
 import {readPoolGauges} from './pool_gauges';
+import {createRetention} from './retention';
 import {createRunEnds, listMembers} from './run_ends';
 import {createSickHosts} from './sick_hosts';
+import {StoredWorkflows, readStoredWorkflows} from './stored_workflows';
 import {createTaskPlacer} from './task_placer';
 import {createTicketOffice} from './ticket_office';
 
@@ -104,8 +100,6 @@
 const REVIEW_MS = 250;
 /** Time between two deletions of what is no longer kept, in ms. */
 const CLEAN_MS = 5_000;
-/** Added to the time for which a state is kept, in ms. */
-const KEEP_SLACK_MS = 20_000;
 
 /**
  * Creates the coordinator of a term and starts it.
@@ -127,8 +121,6 @@
   onFenced,
 }: CoordinatorOptions): Coordinator {
   const records = new Map<string, WorkflowRecord>();
-  /** Workflows whose keys are being deleted. */
-  const removing = new Set<string>();
   const runTimes = createRunTimes();
   const forecast = createDemandForecast();
   const abort = new AbortController();
@@ -148,6 +140,9 @@
     store: (record, effect) => ledger?.store(record, effect),
     log,
   });
+  const retention = createRetention(records, times.keepStateMs, keys =>
+    ledger?.remove(keys),
+  );
   const load = createLoadReporter(records, getRoom, runTimes, tellLoad);
   let ledger: Ledger | undefined;
   let ready = false;
@@ -157,34 +152,20 @@
   let formerLeasesUntil = 0;
 
   async function read(): Promise<void> {
-    while (!abort.signal.aborted) {
-      const [states, progress, last] = await Promise.all([
-        store.list(STATE_PREFIX),
-        store.list(PROGRESS_PREFIX),
-        store.get(LEDGER_KEY),
-      ]);
-      if (abort.signal.aborted) return;
-      if (states.isErr || progress.isErr || last.isErr) {
-        await delay(RETRY_MS, abort.signal);
-        continue;
-      }
-      if (last.value) {
-        formerLeasesUntil =
-          performance.now() +
-          times.authorityMs +
-          times.runLeaseMs / SLOWEST_PACE;
-      }
-      ledger = createLedger({
-        store,
-        fence: term.fence,
-        ledgerVersion: last.value?.version ?? 0,
-        onFenced: () => onFenced('a write was refused'),
-      });
-      return follow({
-        states: parseEntries<StoredState>(states.value.entries),
-        progress: parseEntries<StoredProgress>(progress.value.entries),
-      });
+    const stored = await readStoredWorkflows(store, abort.signal);
+    if (!stored) return;
+    const {ledgerVersion} = stored;
+    if (ledgerVersion > 0) {
+      formerLeasesUntil =
+        performance.now() + times.authorityMs + times.runLeaseMs / SLOWEST_PACE;
     }
+    ledger = createLedger({
+      store,
+      fence: term.fence,
+      ledgerVersion,
+      onFenced: () => onFenced('a write was refused'),
+    });
+    follow(stored);
   }
 
   function follow(stored: StoredWorkflows): void {
@@ -199,7 +180,7 @@
     stops.push(
       work.entries.onChange(entries => {
         for (const {value} of entries.values()) admit(value, stored);
-        forgetRemoved(entries);
+        retention.noteStored(entries);
         if (!ready) takeOver(entries.size);
         schedule();
       }),
@@ -211,7 +192,7 @@
       sick.review();
       void load.review();
     }, REVIEW_MS);
-    const clean = setInterval(cleanUp, CLEAN_MS);
+    const clean = setInterval(() => retention.review(), CLEAN_MS);
     stops.push(() => clearInterval(review));
     stops.push(() => clearInterval(clean));
   }
@@ -375,29 +356,6 @@
     return result.isOk;
   }
 
-  /** A record goes only when its key has: while it is listed it would count as new. */
-  function forgetRemoved(entries: ReadonlyMap<string, unknown>): void {
-    for (const id of removing) {
-      if (entries.has(getWorkKey(id))) continue;
-      removing.delete(id);
-      records.delete(id);
-    }
-  }
-
-  function cleanUp(): void {
-    const limit = Date.now() - times.keepStateMs - KEEP_SLACK_MS;
-    for (const [id, record] of records) {
-      if (!isFinal(record.state) || record.endedAt > limit) continue;
-      if (removing.has(id)) continue;
-      if (record.storedVersion < record.version) continue;
-      let busy = false;
-      forEachTask(record, task => (busy ||= task.placement !== undefined));
-      if (busy) continue;
-      removing.add(id);
-      ledger?.remove([getWorkKey(id), getStateKey(id), getCancelKey(id)]);
-    }
-  }
-
   void read();
 
   return {
@@ -423,15 +381,3 @@
     },
   };
 }
-
-/** What earlier leaders and entry hosts have stored, by key. */
-interface StoredWorkflows {
-  readonly states: ReadonlyMap<string, StoredState>;
-  readonly progress: ReadonlyMap<string, StoredProgress>;
-}
-
-function parseEntries<T>(
-  entries: readonly StoreEntry[],
-): ReadonlyMap<string, T> {
-  return new Map(entries.map(({key, value}) => [key, JSON.parse(value) as T]));
-}
