Suspect a host only if it has not answered since the lost call

A session that was concluded was opened again while the registry still listed the old life, and called a closed port each 200 ms.

--- a/features/workflows/running.feature
+++ b/features/workflows/running.feature
@@ -103,6 +103,14 @@
     And nothing of the cancelled ones runs
     And the history of runs holds every promise
 
+  @promise-long-work @failure-lost-answer
+  Scenario: A host that loses single orders and answers others goes on getting tasks
+    Given 3 entry hosts and 4 hosts for workflows
+    When 10 of 100 orders to hosts are carried out 3000 ms late without an answer
+    And 60 workflows of 6 tasks of 500 ms are submitted
+    Then all are "completed" within 6 s
+    And the history of runs holds every promise
+
   @promise-long-work @failure-impossible-job
   Scenario: A workflow whose tasks always fail ends as failed within its attempts
     Given 3 entry hosts and 4 hosts for workflows
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -7,6 +7,7 @@
 } from '../../decisions/workflows';
 import {
   HoldReport,
+  HostAnswer,
   HostAddress,
   HostCallFailure,
   HostRefusal,
@@ -129,6 +130,8 @@
   let gone = false;
   let cordoned = false;
   let suspectUntil = 0;
+  /** Steady time in ms of the host's last answer. */
+  let answeredAt = 0;
   let acknowledged = 0;
   let reports = 0;
   let bornAt = host.bornAt;
@@ -142,7 +145,7 @@
     signal: abort.signal,
     isCurrent,
     nextLease,
-    onAnswer: answer => clock.observe(answer.clockMs),
+    onAnswer: noteAnswer,
     onFailure: noteFailure,
     onSettled: settle,
     onStarted: onBegun,
@@ -194,6 +197,7 @@
     const untilMs = failing ? undefined : nextLease();
     const waits = tasks.size > 0 && reached && untilMs !== undefined;
     const waitMs = waits && !receipts.hasUnstored() ? HOLD_WAIT_MS : 0;
+    const sentAt = performance.now();
     const answer = await hosts.hold(address, {
       fence,
       seenEnd,
@@ -203,11 +207,11 @@
     if (abort.signal.aborted) return true;
     failing = answer.isErr;
     if (answer.isErr) {
-      noteFailure('hold', answer.error);
+      noteFailure('hold', answer.error, sentAt);
       return false;
     }
     const report = answer.value;
-    clock.observe(report.clockMs);
+    noteAnswer(report);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
       return false;
@@ -315,7 +319,19 @@
     acknowledged = 0;
   }
 
-  function noteFailure(call: string, failure: HostCallFailure): void {
+  function noteAnswer({clockMs}: HostAnswer): void {
+    answeredAt = performance.now();
+    clock.observe(clockMs);
+  }
+
+  function noteFailure(
+    call: string,
+    failure: HostCallFailure,
+    sentAt: number,
+  ): void {
+    // A host that has answered since then has lost this call only.
+    const lost = failure === HostCallFailure.NoAnswer && answeredAt > sentAt;
+    if (lost) return log.info('call lost', {host: host.id, call});
     if (performance.now() > suspectUntil) {
       log.warn('host lost', {host: host.id, pool: host.pool, call, failure});
     }
@@ -431,7 +447,7 @@
       void orders.pace(task, placement, percent);
     },
     conclude: endLife,
-    isIdle: () => tasks.size === 0 && (!listed || gone),
+    isIdle: () => tasks.size === 0 && !listed,
     dispose: () => abort.abort(),
   };
 }
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -30,7 +30,12 @@
   readonly nextLease: () => number | undefined;
   /** The host has answered an order. */
   readonly onAnswer: (answer: HostAnswer) => void;
-  readonly onFailure: (call: string, failure: HostCallFailure) => void;
+  /** A call has no answer of the host that was meant; it was sent at a steady time in ms. */
+  readonly onFailure: (
+    call: string,
+    failure: HostCallFailure,
+    sentAt: number,
+  ) => void;
   /** Reports that are made from now on list the run, or its end. */
   readonly onSettled: (placement: Placement) => void;
   readonly onStarted: (task: TaskRecord) => void;
@@ -75,6 +80,7 @@
         await delay(RETRY_MS, signal);
         continue;
       }
+      const sentAt = performance.now();
       const answer = await hosts.start(address, {
         task: task.name,
         run: placement.run,
@@ -96,7 +102,7 @@
         }
         return giveUp(task, placement, unanswered, refusal);
       }
-      onFailure('start', answer.error);
+      onFailure('start', answer.error, sentAt);
       if (answer.error !== HostCallFailure.NoAnswer) {
         return giveUp(task, placement, unanswered, answer.error);
       }
@@ -120,19 +126,20 @@
   async function stop(task: TaskRecord, placement: Placement): Promise<void> {
     placement.stopping = true;
     while (isCurrent(task, placement)) {
-      const {name} = task;
+      const sentAt = performance.now();
       const answer = await hosts.stop(address, {
-        task: name,
+        task: task.name,
         run: placement.run,
         fence,
       });
       if (!isCurrent(task, placement)) return;
       if (answer.isOk) {
+        onAnswer(answer.value);
         if (answer.value.refusal === HostRefusal.Fenced) return onFenced();
         placement.stoppedAt = performance.now();
         return onSettled(placement);
       }
-      onFailure('stop', answer.error);
+      onFailure('stop', answer.error, sentAt);
       await delay(RETRY_MS, signal);
     }
   }
