--- a/bench/workflows/platform_entry.ts
+++ b/bench/workflows/platform_entry.ts
@@ -62,7 +62,6 @@
     zone: 'zone-a',
     'listen.front': `${ip}:${CALLERS_PORT}`,
     'listen.ready': `${ip}:${READY_PORT}`,
-    portRange: '7060,7075',
     'limits.cpuShare': '0.675',
     'bounds.graceS': '6',
     'bounds.holdMaxMs': '10000',
--- a/features/platform/translation.steps.ts
+++ b/features/platform/translation.steps.ts
@@ -68,7 +68,6 @@
     readyAddress: `${IP}:8622`,
     ip: IP,
     processorShare: 1,
-    peerPort: 7_060,
     storeAddress: platform.storeAddress,
     machinesAddress: platform.machinesAddress,
     adviceAddress: platform.adviceAddress,
