--- a/features/platform/translation.steps.ts
+++ b/features/platform/translation.steps.ts
@@ -22,6 +22,8 @@
   memoryMb: 256,
 };
 const LOOK_MS = 25;
+/** Time in s that an entry host may take to serve: the users' lead time. */
+const START_S = 12;
 const CONFIGURATION = {
   version: 3,
   routes: [
@@ -91,9 +93,11 @@
   if (configuration) platform.configure(configuration);
   const log = createLog({member: 'entry-1'}, LogLevel.Error);
   entry = startPlatformEntry(createSettings(), createWorkflowMeter(), log);
-  await waitFor(2, () => platform.keyValue.get('live/leader') !== undefined);
+  const isLed = () => platform.keyValue.get('live/leader') !== undefined;
+  await waitFor(START_S, isLed);
   if (configuration) {
-    await waitFor(2, async () => (await call('GET', '/quotes/')) === 200);
+    const isServed = async () => (await call('GET', '/quotes/')) === 200;
+    await waitFor(START_S, isServed);
   }
 }
 
