Mend what a second reading found: a fleet index per review, twins, dead code

Sessions are indexed by machine once per review of the fleet; each machine looked through the list and all sessions before (255 machines, ten times a second). HostClock.reset and TicketRequest.urgent, without a reader or always true, are gone.

--- a/bench/workflows/index.ts
+++ b/bench/workflows/index.ts
@@ -1,6 +1,7 @@
 import {Agent, request} from 'node:http';
 import {TaskBehaviour, FleetEventKind} from '../../src/stand_ins/fleet';
 import {createUsersPlatform} from '../../src/stand_ins/users_platform';
+import {delay} from '../../src/state';
 import {Bench, atLeast, atMost} from '../shared';
 import {EntryProcess, startEntry} from './platform_entry';
 
@@ -61,14 +62,14 @@
     entries.push(await startEntry(platform, index, flags));
   }
   progress(`${ENTRIES} entry processes are ready`);
-  await sleep(2_000);
+  await delay(2_000);
   const before = entries.map(entry => entry.readProcessorMs());
   const loadMs = quick ? QUICK_LOAD_MS : LOAD_MS;
   const submittedAt = await submitAll(entries, loadMs);
   const used = entries.map(
     (entry, index) => entry.readProcessorMs() - before[index],
   );
-  await sleep(REST_MS);
+  await delay(REST_MS);
   const startedAt = new Map<string, number>();
   let done = 0;
   for (const {kind, task, at, how} of platform.fleet.events) {
@@ -121,7 +122,7 @@
   const startedAt = performance.now();
   for (let index = 0; index < count; index += 1) {
     const due = startedAt + (index * 1_000) / WORKFLOWS_A_SECOND;
-    await sleep(Math.max(0, due - performance.now()));
+    await delay(Math.max(0, due - performance.now()));
     const id = (index + 1).toString(16).padStart(16, '0');
     submittedAt.set(id, performance.now());
     const [host, port] = entries[index % entries.length].callers.split(':');
@@ -139,7 +140,3 @@
   }
   return submittedAt;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/bench/workflows/platform_entry.ts
+++ b/bench/workflows/platform_entry.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {UsersPlatform} from '../../src/stand_ins/users_platform';
+import {delay} from '../../src/state';
 import {readProcessCost} from '../control/process_cost';
 
 /** One entry host of a bench, as a process of its own. */
@@ -17,6 +18,8 @@
 
 const CALLERS_PORT = 8_624;
 const READY_PORT = 8_622;
+/** Time in ms between two looks whether an entry host is ready. */
+const LOOK_MS = 20;
 
 /**
  * Starts target/entry.cjs with a settings file for the stand-in.
@@ -84,6 +87,6 @@
   for (;;) {
     const answer = await fetch(url).catch(() => undefined);
     if (answer?.status === 200) return;
-    await new Promise(resolve => setTimeout(resolve, 20));
+    await delay(LOOK_MS);
   }
 }
--- a/features/workflows/running.steps.ts
+++ b/features/workflows/running.steps.ts
@@ -148,7 +148,8 @@
   for (let index = 0; index < count; index += 1) getWorld().addMember();
 });
 
-function findBusiestMachine(): string {
+/** Returns the machine whose host has the most runs. */
+export function findBusiestMachine(): string {
   const {fleet} = getWorld();
   const count = (machine: string) =>
     fleet.getHost(machine)?.listRuns().length ?? 0;
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -3,7 +3,7 @@
 import {FleetEvent, FleetEventKind} from '../../src/stand_ins/fleet';
 import {MachineState, TaskEndKind} from '../../src/types/workflow';
 import {advance, advanceUntil} from '../support/paused_clock';
-import {getSubmitted, getWorld} from './running.steps';
+import {findBusiestMachine, getSubmitted, getWorld} from './running.steps';
 import {POOL, TIMES, createSpec, createStep} from './workflow_world';
 
 let leavingHost = '';
@@ -22,20 +22,13 @@
   },
 );
 
-function findBusiest(): string {
-  const {fleet} = getWorld();
-  const count = (machine: string) =>
-    fleet.getHost(machine)?.listRuns().length ?? 0;
-  return [...fleet.machines.keys()].sort((a, b) => count(b) - count(a))[0];
-}
-
 When('the host with the most runs dies without a word', () => {
-  getWorld().fleet.crash(findBusiest(), true);
+  getWorld().fleet.crash(findBusiestMachine(), true);
 });
 
 When('the host with the most runs announces that it leaves', () => {
   const {fleet} = getWorld();
-  const machine = findBusiest();
+  const machine = findBusiestMachine();
   leavingHost = fleet.getHost(machine)?.host.id ?? '';
   fleet.announceLeave(machine);
 });
--- a/src/actors/workflows/host_clock.ts
+++ b/src/actors/workflows/host_clock.ts
@@ -10,8 +10,6 @@
   noteObedience(leaseMs: number): void;
   /** Tells whether every lease that was ordered has certainly ended. */
   hasCertainlyLapsed(): boolean;
-  /** Forgets all, as the host's life has ended. */
-  reset(): void;
 }
 
 /** Least pace of a host's clock: the platform's bound is 2% slow. */
@@ -61,9 +59,5 @@
         (leaseUntil === undefined || leastClock > leaseUntil)
       );
     },
-    reset() {
-      told = undefined;
-      leaseUntil = undefined;
-    },
   };
 }
--- a/src/actors/workflows/machine_views.ts
+++ b/src/actors/workflows/machine_views.ts
@@ -49,23 +49,32 @@
   let list: readonly Machine[] = [];
 
   /** A session whose host isn't registered knows its machine from the list only. */
-  function listSessions(machine: string): readonly HostSession[] {
-    const {hostId} = list.find(({id}) => id === machine) ?? {};
-    const found = [...coordinator.sessions.values()].filter(
-      ({room}) => room.host.machine === machine || room.host.id === hostId,
-    );
-    return found.filter(session => !session.isGone());
+  function indexSessions(): ReadonlyMap<string, readonly HostSession[]> {
+    const machineOf = new Map(list.map(({id, hostId}) => [hostId, id]));
+    const index = new Map<string, HostSession[]>();
+    for (const session of coordinator.sessions.values()) {
+      if (session.isGone()) continue;
+      const {machine, id} = session.room.host;
+      for (const key of new Set([machine, machineOf.get(id) ?? machine])) {
+        const sessions = index.get(key);
+        if (sessions) sessions.push(session);
+        else index.set(key, [session]);
+      }
+    }
+    return index;
   }
 
-  function listTasks(machine: string): readonly TaskRecord[] {
-    return listSessions(machine).flatMap(session => [
-      ...session.tasks.values(),
-    ]);
+  function listSessions(machine: string): readonly HostSession[] {
+    return indexSessions().get(machine) ?? [];
   }
 
-  function viewMachine(machine: Machine, ordered: boolean): MachineView {
+  function viewMachine(
+    machine: Machine,
+    sessions: readonly HostSession[],
+    ordered: boolean,
+  ): MachineView {
     const session = coordinator.sessions.get(machine.hostId);
-    const tasks = listTasks(machine.id);
+    const tasks = flattenTasks(sessions);
     const now = performance.now();
     if (tasks.length > 0 || !idleSince.has(machine.id)) {
       idleSince.set(machine.id, now);
@@ -132,22 +141,31 @@
     setList(next) {
       list = next;
     },
-    look: isOrdered => ({
-      machines: new Map(
-        list.map(machine => [
-          machine.id,
-          viewMachine(machine, isOrdered(machine.id)),
-        ]),
-      ),
-      pools: viewPools(),
-      machineCpuMillis: getMachineCpuMillis(),
-    }),
+    look(isOrdered) {
+      const index = indexSessions();
+      const views = list.map(machine =>
+        viewMachine(
+          machine,
+          index.get(machine.id) ?? [],
+          isOrdered(machine.id),
+        ),
+      );
+      return {
+        machines: new Map(views.map(view => [view.id, view])),
+        pools: viewPools(),
+        machineCpuMillis: getMachineCpuMillis(),
+      };
+    },
     listSessions,
-    listTasks,
+    listTasks: machine => flattenTasks(listSessions(machine)),
     restartIdleTime: machine => void idleSince.delete(machine),
   };
 }
 
+function flattenTasks(sessions: readonly HostSession[]): readonly TaskRecord[] {
+  return sessions.flatMap(session => [...session.tasks.values()]);
+}
+
 /** A machine that moves, or has moved and not registered yet, will serve. */
 function isArriving({state}: Machine, ordered: boolean): boolean {
   if (state === MachineState.Moving) return true;
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -132,7 +132,6 @@
       hostIds,
       wanted: waiting.length,
       validMs: advice.validMs,
-      urgent: true,
     });
   }
 
--- a/src/actors/workflows/ticket_office.ts
+++ b/src/actors/workflows/ticket_office.ts
@@ -20,8 +20,6 @@
   /** Hosts that it wants tickets for. */
   readonly wanted: number;
   readonly validMs: number;
-  /** The step could start now. */
-  readonly urgent: boolean;
 }
 
 interface Ticket {
@@ -45,8 +43,7 @@
 /**
  * Creates the office of a term.
  *
- * The service serves one call of a caller at a time, so calls wait here, those
- * of steps that could start now first.
+ * The service serves one call of a caller at a time, so calls wait here.
  *
  * @param advice the advice service
  * @param log told of each answer
@@ -78,8 +75,7 @@
   }
 
   function takeNext(): TicketRequest | undefined {
-    const requests = [...waiting.values()];
-    const next = requests.find(({urgent}) => urgent) ?? requests[0];
+    const [next] = waiting.values();
     if (next) waiting.delete(next.step);
     return next;
   }
