--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -7,6 +7,7 @@
 import {runPlannedStopBench} from './requests/planned_stop';
 import {runScaleBench} from './scale';
 import {Bench} from './shared';
+import {runWorkflowsBench} from './workflows';
 
 /** Benches that the report runs, by name. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
@@ -16,6 +17,7 @@
   fleet: runFleetBench,
   control: runControlBench,
   scale: runScaleBench,
+  workflows: runWorkflowsBench,
 };
 
 /** Parts of benches that can be run alone, by name. */
--- /dev/null
+++ b/bench/workflows/platform_entry.ts
@@ -0,0 +1,90 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {UsersPlatform} from '../../src/stand_ins/users_platform';
+import {readProcessCost} from '../control/process_cost';
+
+/** One entry host of a bench, as a process of its own. */
+export interface EntryProcess {
+  /** Where callers reach it. */
+  readonly callers: string;
+  /** Processor time so far in ms. */
+  readProcessorMs(): number;
+  end(): Promise<void>;
+}
+
+const CALLERS_PORT = 8_624;
+const READY_PORT = 8_622;
+
+/**
+ * Starts target/entry.cjs with a settings file for the stand-in.
+ *
+ * @param platform the users' platform
+ * @param index number of the entry host, which decides its loopback address
+ * @param nodeFlags flags of the runtime, such as a profiler's
+ */
+export async function startEntry(
+  platform: UsersPlatform,
+  index: number,
+  nodeFlags: readonly string[] = [],
+): Promise<EntryProcess> {
+  const folder = mkdtempSync(join(tmpdir(), 'sesamefront-entry-'));
+  const path = join(folder, 'node.conf');
+  const ip = `127.0.0.${index + 1}`;
+  writeFileSync(path, writeSettings(platform, ip, index));
+  const child = spawn(process.execPath, [...nodeFlags, 'target/entry.cjs'], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+    env: {...process.env, SESAMEFRONT_SETTINGS: path},
+  });
+  await waitUntilReady(`http://${ip}:${READY_PORT}/-/ready`);
+  return {
+    callers: `${ip}:${CALLERS_PORT}`,
+    readProcessorMs: () => readProcessCost(child).processorMs,
+    async end() {
+      const exited = once(child, 'exit');
+      child.kill('SIGTERM');
+      await exited;
+      rmSync(folder, {recursive: true});
+    },
+  };
+}
+
+function writeSettings(
+  platform: UsersPlatform,
+  ip: string,
+  index: number,
+): string {
+  const settings: Readonly<Record<string, string>> = {
+    nodeName: `entry-${index + 1}`,
+    ip,
+    zone: 'zone-a',
+    'listen.front': `${ip}:${CALLERS_PORT}`,
+    'listen.ready': `${ip}:${READY_PORT}`,
+    portRange: '7060,7075',
+    'limits.cpuShare': '0.675',
+    'bounds.graceS': '6',
+    'bounds.holdMaxMs': '10000',
+    'bounds.stopMs': '400',
+    'bounds.moveS': '1.5',
+    'bounds.upkeepS': '2',
+    'bounds.leaseMs': '3000',
+    'bounds.status_s': '120',
+    advice: platform.adviceAddress,
+    'platform.address': platform.storeAddress,
+    'platform.ttlMinMs': '1000',
+    'cloudApi.address': platform.machinesAddress,
+  };
+  return Object.entries(settings)
+    .map(([name, value]) => `${name}=${value}\n`)
+    .join('');
+}
+
+async function waitUntilReady(url: string): Promise<void> {
+  for (;;) {
+    const answer = await fetch(url).catch(() => undefined);
+    if (answer?.status === 200) return;
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -93,6 +93,8 @@
 const WATCH_PACE_MS = 10;
 /** Wait after a failed read of the store, in ms. */
 const RETRY_MS = 200;
+/** Wait in ms in which news share one placement: small against a run, a few per host's report. */
+const PLACE_PACE_MS = 4;
 /** Time between two looks at what time alone changes, in ms. */
 const REVIEW_MS = 250;
 /** Time between two deletions of what is no longer kept, in ms. */
@@ -194,6 +196,7 @@
       }),
     );
     const review = setInterval(() => {
+      sessions.evacuate();
       schedule();
       pacing.review();
       void load.review();
@@ -258,6 +261,7 @@
   function readRegistry(): void {
     if (!ready) return;
     sessions.update();
+    sessions.evacuate();
     schedule();
   }
 
@@ -328,10 +332,10 @@
   function schedule(): void {
     if (scheduled || !ready) return;
     scheduled = true;
-    setImmediate(() => {
+    setTimeout(() => {
       scheduled = false;
       if (!abort.signal.aborted) placer.placeAll();
-    });
+    }, PLACE_PACE_MS);
   }
 
   /** Returns the room that a pool has, or could have with machines of others. */
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -41,6 +41,8 @@
 interface Candidate {
   readonly record: WorkflowRecord;
   readonly urgency: Urgency;
+  /** Groups with tasks that could start now. */
+  readonly groups: readonly (readonly TaskRecord[])[];
 }
 
 /**
@@ -60,6 +62,8 @@
     const byPool = new Map<string, Candidate[]>();
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
+      const groups = listOpenGroups(record, unixNow).filter(hasWaiting);
+      if (groups.length === 0) continue;
       const {workflow} = record;
       const expect = (declaredMs: number) =>
         runTimes.expect(workflow.queue, declaredMs);
@@ -81,22 +85,21 @@
         unixNow,
       );
       const list = byPool.get(workflow.pool);
-      if (list) list.push({record, urgency});
-      else byPool.set(workflow.pool, [{record, urgency}]);
+      const candidate = {record, urgency, groups};
+      if (list) list.push(candidate);
+      else byPool.set(workflow.pool, [candidate]);
     }
     return byPool;
   }
 
   function placeWorkflow(
-    record: WorkflowRecord,
+    {record, groups}: Candidate,
     rooms: readonly HostRoom[],
-    unixNow: number,
   ): void {
     const {workflow} = record;
     const placed: PlacedTask[] = [];
-    for (const group of listOpenGroups(record, unixNow)) {
-      const waiting = group.filter(task => task.phase === TaskPhase.Waiting);
-      if (waiting.length === 0) continue;
+    for (const group of groups) {
+      const waiting = group.filter(isWaiting);
       if (group[0].step.gang && waiting.length < group.length) continue;
       const chosen = placeTasks(waiting, rooms, getFilter(workflow, waiting));
       placed.push(...chosen);
@@ -170,16 +173,21 @@
   return {
     placeAll() {
       const unixNow = Date.now();
-      sessions.evacuate();
       for (const [pool, candidates] of listCandidates(unixNow)) {
         const usable = sessions.listUsable(pool);
         if (usable.length === 0) continue;
         const rooms = usable.map(session => session.room);
         candidates.sort((a, b) => compareUrgency(a.urgency, b.urgency));
-        for (const {record} of candidates) {
-          placeWorkflow(record, rooms, unixNow);
-        }
+        for (const candidate of candidates) placeWorkflow(candidate, rooms);
       }
     },
   };
 }
+
+function isWaiting({phase}: TaskRecord): boolean {
+  return phase === TaskPhase.Waiting;
+}
+
+function hasWaiting(group: readonly TaskRecord[]): boolean {
+  return group.some(isWaiting);
+}
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -59,6 +59,11 @@
   readonly moveMs: number;
   readonly upkeepMs: number;
   readonly random: () => number;
+  /** Where and how hosts register themselves; as JSON of their data by default. */
+  readonly registry?: {
+    readonly prefix: string;
+    readonly write: (host: TaskHost) => string;
+  };
 }
 
 /** Time of a call in ms, and after which a call without an answer fails. */
@@ -78,6 +83,10 @@
   moveMs,
   upkeepMs,
   random,
+  registry = {
+    prefix: FLEET_REGISTRY_PREFIX,
+    write: host => JSON.stringify(host),
+  },
 }: MemoryFleetOptions): MemoryFleet {
   const events: FleetEvent[] = [];
   const hosts = new Map<string, TaskHostModel>();
@@ -123,7 +132,7 @@
     };
     hosts.set(host.id, createTaskHostModel(host, longestHoldMs, record));
     setMachine(id, {state: MachineState.Up, hostId: host.id});
-    putEntry(`${FLEET_REGISTRY_PREFIX}${host.id}`, JSON.stringify(host));
+    putEntry(`${registry.prefix}${host.id}`, registry.write(host));
   }
 
   function endLife(id: string): void {
@@ -132,7 +141,7 @@
     if (!host) return;
     host.kill();
     dead.add(host.host.id);
-    const key = `${FLEET_REGISTRY_PREFIX}${host.host.id}`;
+    const key = `${registry.prefix}${host.host.id}`;
     setTimeout(() => putEntry(key, undefined), ENTRY_MS);
     setMachine(id, {state: MachineState.Down, hostId: ''});
   }
--- a/src/stand_ins/platform/key_value.ts
+++ b/src/stand_ins/platform/key_value.ts
@@ -67,9 +67,12 @@
       const dropped = changes.splice(0, KEPT_CHANGES / 2);
       compactedTo = dropped[dropped.length - 1].revision;
     }
-    for (const waiter of [...waiters]) {
-      if (key.startsWith(waiter.prefix)) waiter.wake();
-    }
+    // A watch sees the changes of a transaction together.
+    queueMicrotask(() => {
+      for (const waiter of [...waiters]) {
+        if (key.startsWith(waiter.prefix)) waiter.wake();
+      }
+    });
   }
 
   function remove(key: string): void {
--- /dev/null
+++ b/src/stand_ins/users_platform/host_face.ts
@@ -0,0 +1,102 @@
+import {
+  HoldReport,
+  HostAnswer,
+  HostRefusal,
+  TaskHosts,
+} from '../../ports/hosts';
+import {JsonAnswer, JsonCall} from './json_server';
+
+const REASONS: Readonly<Record<HostRefusal, string>> = {
+  [HostRefusal.Fenced]: 'fence',
+  [HostRefusal.OldRun]: 'old',
+  [HostRefusal.Late]: 'late',
+  [HostRefusal.NoRoom]: 'room',
+  [HostRefusal.Ticket]: 'ticket',
+  [HostRefusal.Malformed]: 'malformed',
+};
+
+/**
+ * Answers the calls of the users' hosts from the fleet stand-in.
+ *
+ * @param hosts calls of the fleet
+ * @param getHostId returns the life that is at the address now
+ */
+export function createHostFace(
+  hosts: TaskHosts,
+  getHostId: () => string | undefined,
+) {
+  return async ({path, headers, body}: JsonCall): Promise<JsonAnswer> => {
+    const id = getHostId();
+    if (id === undefined || headers['x-expect-instance'] !== id) {
+      return {status: 421};
+    }
+    const host = {id, address: ''};
+    const order = {
+      task: String(body.task),
+      run: Number(body.run),
+      fence: Number(body.fence ?? 0),
+    };
+    switch (path) {
+      case '/-/run-start': {
+        const answer = await hosts.start(host, {
+          ...order,
+          spec: String(body.spec),
+          untilMs: Number(body.untilMs),
+          checkpoint: String(body.checkpointData ?? ''),
+          ticket: String(body.ticket ?? ''),
+        });
+        return answer.map(writeAnswer).unwrapOr({status: 421});
+      }
+      case '/-/run-stop': {
+        const answer = await hosts.stop(host, order);
+        return answer.map(writeAnswer).unwrapOr({status: 421});
+      }
+      case '/-/pace': {
+        const answer = await hosts.pace(host, order, Number(body.percent));
+        return answer.map(writeAnswer).unwrapOr({status: 421});
+      }
+      case '/-/hold': {
+        const answer = await hosts.hold(host, {
+          fence: order.fence,
+          seenEnd: Number(body.lastSeen ?? 0),
+          untilMs:
+            body.untilMs === undefined ? undefined : Number(body.untilMs),
+          waitMs: Number(body.waitMs ?? 0),
+        });
+        return answer.map(writeReport).unwrapOr({status: 421});
+      }
+      default:
+        return {status: 400};
+    }
+  };
+}
+
+function writeAnswer({clockMs, refusal}: HostAnswer): JsonAnswer {
+  if (refusal === undefined) return {status: 200, body: {clockMs}};
+  return {status: 409, body: {clockMs, reason: REASONS[refusal]}};
+}
+
+function writeReport(report: HoldReport): JsonAnswer {
+  if (report.refusal !== undefined) return writeAnswer(report);
+  return {
+    status: 200,
+    body: {
+      clockMs: report.clockMs,
+      born: report.bornAt,
+      running: report.running.map(run => [
+        run.task,
+        run.run,
+        run.checkpoint,
+        run.percent,
+        run.load,
+      ]),
+      ended: report.ended.map(end => [
+        end.number,
+        end.task,
+        end.run,
+        end.kind,
+        end.checkpoint,
+      ]),
+    },
+  };
+}
--- /dev/null
+++ b/src/stand_ins/users_platform/index.ts
@@ -0,0 +1,2 @@
+/** A stand-in that speaks the users' published protocol, for tests and benches. */
+export * from './users_platform';
--- /dev/null
+++ b/src/stand_ins/users_platform/users_platform.ts
@@ -0,0 +1,132 @@
+import {TaskHost} from '../../types/workflow';
+import {MemoryFleet, createMemoryFleet} from '../fleet';
+import {KeyValue, createKeyValue} from '../platform';
+import {createHostFace} from './host_face';
+import {JsonServer, createJsonServer} from './json_server';
+import {createMachinesFace} from './machines_face';
+import {createStoreFace} from './store_face';
+
+/** The users' platform over its published protocol, on the loopback interface. */
+export interface UsersPlatform {
+  readonly keyValue: KeyValue;
+  readonly fleet: MemoryFleet;
+  readonly storeAddress: string;
+  readonly machinesAddress: string;
+  readonly adviceAddress: string;
+  /** Writes the operator's configuration. */
+  configure(configuration: object): void;
+  /** Declares a wave. */
+  declareWave(wave: {readonly wave: number} & object): void;
+  /** Returns what was reported of a wave; undefined before. */
+  readWaveState(wave: number): string | undefined;
+  dispose(): void;
+}
+
+/** What the stand-in plays. */
+export interface UsersPlatformOptions {
+  /** Machines by pool. */
+  readonly pools: ReadonlyMap<string, number>;
+  readonly sparePool: string;
+  readonly spareMachines: number;
+}
+
+const CPU_MILLIS = 16_000;
+const MEMORY_MB = 32_768;
+const LONGEST_HOLD_MS = 10_000;
+const MOVE_MS = 1_500;
+const UPKEEP_MS = 2_000;
+const REGISTRY_PREFIX = 'servers/';
+
+/** Starts a stand-in of the users' platform. */
+export async function createUsersPlatform({
+  pools,
+  sparePool,
+  spareMachines,
+}: UsersPlatformOptions): Promise<UsersPlatform> {
+  const keyValue = createKeyValue();
+  const servers: JsonServer[] = [];
+  const addresses = new Map<string, string>();
+  const fleet = createMemoryFleet({
+    keyValue,
+    cpuMillis: CPU_MILLIS,
+    memoryMb: MEMORY_MB,
+    longestHoldMs: LONGEST_HOLD_MS,
+    moveMs: MOVE_MS,
+    upkeepMs: UPKEEP_MS,
+    random: Math.random,
+    registry: {
+      prefix: REGISTRY_PREFIX,
+      write: host => writeEntry(host, addresses.get(host.machine) ?? ''),
+    },
+  });
+  const hosts = fleet.createTaskHosts(() => false);
+  const wanted = [...pools].flatMap(([pool, count]) =>
+    Array.from({length: count}, () => ({pool, off: false})),
+  );
+  for (let index = 0; index < spareMachines; index += 1) {
+    wanted.push({pool: sparePool, off: true});
+  }
+  for (const [index, {pool, off}] of wanted.entries()) {
+    const machine = `machine-${index + 1}`;
+    const face = createHostFace(hosts, () => fleet.getHost(machine)?.host.id);
+    const server = await createJsonServer(face);
+    servers.push(server);
+    addresses.set(machine, server.address);
+    fleet.addMachine(pool, off);
+  }
+  const store = await createJsonServer(createStoreFace(keyValue));
+  const machines = await createJsonServer(
+    createMachinesFace(fleet.createMachines(() => false)),
+  );
+  const advisor = fleet.createAdvice();
+  const advice = await createJsonServer(async ({body}) => {
+    const step = String(body.step);
+    const answer = await advisor.ask(step, body.workers as string[]);
+    return {status: 200, body: {good: [...answer.unwrapOr(new Map())]}};
+  });
+  servers.push(store, machines, advice);
+
+  function put(key: string, value: object): void {
+    const expectedVersion = keyValue.get(key)?.version ?? 0;
+    keyValue.swap({key, expectedVersion, value: JSON.stringify(value)});
+  }
+
+  return {
+    keyValue,
+    fleet,
+    storeAddress: store.address,
+    machinesAddress: machines.address,
+    adviceAddress: advice.address,
+    configure: configuration => put('op/config', configuration),
+    declareWave: wave => put(`op/wave/${wave.wave}`, wave),
+    readWaveState(wave) {
+      const entry = keyValue.get(`status/wave/${wave}`);
+      return entry && (JSON.parse(entry.value) as {state: string}).state;
+    },
+    dispose() {
+      for (const server of servers) server.dispose();
+      keyValue.dispose();
+    },
+  };
+}
+
+function writeEntry(host: TaskHost, address: string): string {
+  return JSON.stringify({
+    service: host.pool,
+    address,
+    zone: host.availabilityZone,
+    version: '1',
+    slots: 8,
+    state: host.draining ? 'draining' : 'ready',
+    coldLeftMs: host.coldMs,
+    sequence: 1,
+    machine: host.machine,
+    born: host.bornAt,
+    capacity: {
+      cpu: host.capacity.cpuMillis,
+      memMb: host.capacity.memoryMb,
+      gpu: host.capacity.accelerators,
+    },
+    labels: ['kind-a', host.rack],
+  });
+}
