Ignore steps of the wall clock

Cause: ages of workflows, retention periods, remaining times of waves and the gap between two holders of a machine were differences of wall-clock times, often of two hosts. Ruled out: run leases, the leader's lease and timeouts; they use the monotonic clock, and the wall clock only to notice a suspended machine. Change: a Unix clock that runs at the rate of the monotonic one and follows a step of the wall clock after a minute; the leader measures ages on its own clock; the order log compares no clocks.

--- a/features/support/clock.ts
+++ b/features/support/clock.ts
@@ -59,6 +59,14 @@
   globalThis.clearImmediate = clear as unknown as typeof clearImmediate;
 }
 
+/**
+ * Sets the paused wall clock forward, or back if negative; the monotonic clock
+ * and the timers are unaffected.
+ */
+export function stepWallClock(ms: number): void {
+  installed?.setSystemTime(Date.now() + ms);
+}
+
 /** Restores the runtime's own clock and Math.random. */
 export function resumeClock(): void {
   installed?.uninstall();
--- /dev/null
+++ b/features/workflows/time_of_day.steps.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {LEADER_KEY} from '../../src/actors/workflows';
+import {OrderLog, createOrderLog} from '../../src/actors/workflows/order_log';
+import {
+  createKeyValue,
+  createMemoryStore,
+  createStoreFaults,
+} from '../../src/stand_ins/platform';
+import {ClockStep, UnixClock, createUnixClock} from '../../src/state';
+import {advance, stepWallClock} from '../support/paused_clock';
+
+/** Interval in ms at which the clock is read, as a busy process does. */
+const READ_INTERVAL_MS = 250;
+
+let clock: UnixClock;
+let steps: ClockStep[] = [];
+let reader: ReturnType<typeof setInterval> | undefined;
+let originMs = 0;
+
+After(() => clearInterval(reader));
+
+Given('a Unix clock that has run for {int} s', async (seconds: number) => {
+  steps = [];
+  clock = createUnixClock(step => steps.push(step));
+  originMs = Date.now() - performance.now();
+  reader = setInterval(() => clock.now(), READ_INTERVAL_MS);
+  await advance(seconds * 1_000);
+});
+
+When('the wall clock is set {int} ms forward', async (ms: number) => {
+  stepWallClock(ms);
+  await advance(READ_INTERVAL_MS);
+});
+
+Then(
+  'the Unix clock still shows the time since its start, within {int} ms',
+  (toleranceMs: number) => {
+    const error = clock.now() - (originMs + performance.now());
+    assert.ok(Math.abs(error) <= toleranceMs, `${error} ms`);
+  },
+);
+
+Then("the Unix clock shows the wall clock's time", () => {
+  assert.ok(Math.abs(clock.now() - Date.now()) <= 1);
+});
+
+Then(/^(\d+) steps? of the clock (?:is|are) reported$/, (count: string) => {
+  assert.equal(steps.length, Number(count), JSON.stringify(steps));
+});
+
+const MACHINE = 'm-1';
+const keyValue = createKeyValue();
+let orderLog: OrderLog;
+
+/** Makes a new holder lead and opens its order log. */
+async function takeOver(gapMs: number): Promise<void> {
+  const version = keyValue.get(LEADER_KEY)?.version ?? 0;
+  const value = JSON.stringify({memberId: 'entry-1', token: String(version)});
+  keyValue.swap({key: LEADER_KEY, expectedVersion: version, value});
+  const fence = keyValue.get(LEADER_KEY)?.version ?? 0;
+  const store = createMemoryStore(keyValue, createStoreFaults());
+  orderLog = createOrderLog(store, fence, gapMs, () => Date.now());
+  await advance(100);
+}
+
+Given('an earlier holder has recorded an order for a machine', async () => {
+  await takeOver(0);
+  assert.ok(await orderLog.record([MACHINE]));
+});
+
+When('another holder takes over with a gap of {int} ms', (gapMs: number) =>
+  takeOver(gapMs),
+);
+
+Then('the other holder may not order the machine', () => {
+  assert.equal(orderLog.mayOrder(MACHINE), false);
+  assert.equal(orderLog.mayOrder('m-2'), true);
+});
+
+Then('the other holder may order the machine', () => {
+  assert.equal(orderLog.mayOrder(MACHINE), true);
+});
--- a/scripts/proof.mjs
+++ b/scripts/proof.mjs
@@ -34,6 +34,7 @@
   '@failure-silent-connection': 'Silent connection',
   '@failure-crash': 'Crash or replacement of an entry host',
   '@failure-partition': 'Partition between members',
+  '@failure-clock': 'Time of day jumps',
 };
 
 /** Returns every scenario with its tags, including those of its feature. */
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -91,6 +91,8 @@
   readonly live: Mirror<unknown>;
   /** Mirror of the host registry. */
   readonly registry: Mirror<TaskHost>;
+  /** Returns the current Unix time in ms. */
+  readonly unixNow: () => number;
   readonly log: Log;
   /** Called when another leader has taken over. */
   readonly onFenced: (cause: string) => void;
@@ -131,6 +133,7 @@
   times,
   live,
   registry,
+  unixNow,
   log,
   onFenced,
 }: CoordinatorOptions): Coordinator {
@@ -152,10 +155,14 @@
     tickets,
     runTimes,
     store: (record, effect) => ledger?.store(record, effect),
+    unixNow,
     log,
   });
-  const retention = createRetention(records, times.keepStateMs, keys =>
-    ledger?.remove(keys),
+  const retention = createRetention(
+    records,
+    times.keepStateMs,
+    keys => ledger?.remove(keys),
+    unixNow,
   );
   const load = createLoadReporter(
     records,
@@ -224,11 +231,17 @@
   function admit(workflow: Workflow, stored: StoredWorkflows): void {
     const {id} = workflow;
     if (records.has(id)) return;
+    // New work is seen within milliseconds of its acceptance, so its age is
+    // measured on the clock of the leader. Clocks of entry hosts may differ.
+    const acceptedAt = ready
+      ? unixNow()
+      : Math.min(workflow.acceptedAt, unixNow());
     const record = createWorkflowRecord(
       workflow,
       ready ? undefined : stored.states.get(getStateKey(id)),
       (ready ? undefined : stored.progress.get(getProgressKey(id))) ?? {},
       performance.now(),
+      acceptedAt,
     );
     records.set(id, record);
     if (ready) forecastWork(workflow);
@@ -313,12 +326,13 @@
     cause: string,
   ): void {
     record.state = state;
-    record.endedAt = Date.now();
+    record.endedAt = unixNow();
+    retention.recordEnd(record.workflow.id);
     log.info('workflow ended', {
       request: record.workflow.id,
       decision: state,
       cause,
-      ageMs: record.endedAt - record.workflow.acceptedAt,
+      ageMs: record.endedAt - record.acceptedAt,
     });
     stopAll(record, cause);
   }
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -75,6 +75,8 @@
   /** Mirror of the keys under `LIVE_PREFIX` in the store. */
   readonly live: Mirror<unknown>;
   readonly getLoad: () => LoadReport | undefined;
+  /** Returns the current Unix time in ms. */
+  readonly unixNow: () => number;
   readonly log: Log;
 }
 
@@ -99,6 +101,7 @@
   store,
   live,
   getLoad,
+  unixNow,
   log,
 }: IntakeOptions): Intake {
   const storeTimeout = createAdaptiveTimeout();
@@ -129,7 +132,7 @@
       stretch: queue.stretch,
       targetDurationMs: queue.targetDurationMs,
       ...(queue.advice === undefined ? {} : {advice: queue.advice}),
-      acceptedAt: Date.now(),
+      acceptedAt: unixNow(),
       ...draft,
     };
     const retryAfterMs = checkAdmission(workflow, getLoad());
@@ -210,7 +213,7 @@
     }
     const result = await store.transact({
       conditions: new Map(),
-      puts: [{key: getCancelKey(id), value: JSON.stringify(Date.now())}],
+      puts: [{key: getCancelKey(id), value: JSON.stringify(unixNow())}],
       removals: [],
     });
     if (result.isOk) return CancelOutcome.Cancelled;
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -55,6 +55,8 @@
   /** Returns the time in ms since the store last confirmed the term. */
   readonly getTermAgeMs: () => number;
   readonly getConfiguration: () => FleetConfiguration | undefined;
+  /** Returns the current Unix time in ms. */
+  readonly unixNow: () => number;
   readonly times: MachineTimes;
   /**
    * Reports the progress of a wave to the operator; resolves to false on
@@ -130,17 +132,19 @@
   holder,
   getTermAgeMs,
   getConfiguration,
+  unixNow,
   times,
   reportWave,
   log,
 }: MachineManagerOptions): MachineManager {
   const abort = new AbortController();
-  const views = createMachineViews(coordinator, getConfiguration);
+  const views = createMachineViews(coordinator, getConfiguration, unixNow);
   const waveRecords = createWaveRecords(
     store,
     holder.fence,
     waves,
     reportWave,
+    unixNow,
     log,
   );
   const orders = new Map<string, Order>();
@@ -149,6 +153,7 @@
     store,
     holder.fence,
     times.holderGapMs + MAX_TERM_AGE_MS + HOLDER_SLACK_MS,
+    unixNow,
   );
   /** Orders decided in a review, sent once they are recorded in the store. */
   let queuedOrders: QueuedOrder[] = [];
--- a/src/actors/workflows/machine_views.ts
+++ b/src/actors/workflows/machine_views.ts
@@ -53,10 +53,12 @@
  *
  * @param coordinator source of sessions, workflows and the demand forecast
  * @param getConfiguration returns the active configuration
+ * @param unixNow returns the current Unix time in ms
  */
 export function createMachineViews(
   coordinator: Coordinator,
   getConfiguration: () => FleetConfiguration | undefined,
+  unixNow: () => number,
 ): MachineViews {
   const startedAt = performance.now();
   const idleSince = new Map<string, number>();
@@ -117,7 +119,7 @@
       if (isFinal(record.state)) continue;
       const {pool} = record.workflow;
       let sum = demand.get(pool) ?? 0;
-      for (const group of listReadyGroups(record, Date.now())) {
+      for (const group of listReadyGroups(record, unixNow())) {
         const {perHostLimit, lasting} = group[0].step;
         if (lasting && perHostLimit > 0) {
           const hostsNeeded = Math.ceil(group.length / perHostLimit);
--- a/src/actors/workflows/order_log.ts
+++ b/src/actors/workflows/order_log.ts
@@ -19,29 +19,36 @@
 }
 
 /**
- * Age in ms up to which an earlier holder's order counts as recent; large, as
- * the wall clocks of hosts may differ by seconds.
+ * Time in ms for which an order stays recorded; longer than the gap that a
+ * later holder observes.
  */
-const MAX_RECENT_AGE_MS = 10_000;
+const KEEP_MS = 10_000;
 /** Delay after a failed read, in ms. */
 const RETRY_MS = 200;
 
 /**
  * Creates the order log of a holder and loads the records of earlier holders.
  *
+ * The clocks of hosts may differ, so the age of an earlier holder's order is
+ * not known: each counts as if it had been sent when this holder's term began.
+ *
  * @param store the key-value store
  * @param fence the holder's fencing token, a condition of each write
  * @param gapMs minimum time in ms after an earlier holder's order for a machine
+ * @param unixNow returns the current Unix time in ms, stored for operators
  */
 export function createOrderLog(
   store: Store,
   fence: number,
   gapMs: number,
+  unixNow: () => number,
 ): OrderLog {
   const abort = new AbortController();
   const startedAt = performance.now();
-  let earlier: ReadonlyMap<string, number> | undefined;
-  let recorded = new Map<string, number>();
+  /** Machines that earlier holders have ordered. */
+  let earlier: ReadonlySet<string> | undefined;
+  /** Recorded machines with the monotonic time in ms of their last order. */
+  const recorded = new Map<string, number>();
 
   async function read(): Promise<void> {
     while (!abort.signal.aborted && !earlier) {
@@ -51,8 +58,8 @@
         continue;
       }
       const stored = JSON.parse(found.value?.value ?? '{}') as object;
-      earlier = new Map(Object.entries(stored));
-      recorded = new Map(earlier);
+      earlier = new Set(Object.keys(stored));
+      for (const machine of earlier) recorded.set(machine, startedAt);
     }
   }
 
@@ -62,15 +69,12 @@
     mayOrder(machine) {
       if (!earlier) return false;
       if (performance.now() > startedAt + gapMs) return true;
-      const last = earlier.get(machine);
-      return (
-        last === undefined || Math.abs(Date.now() - last) > MAX_RECENT_AGE_MS
-      );
+      return !earlier.has(machine);
     },
     async record(machines) {
-      const now = Date.now();
+      const now = performance.now();
       for (const [machine, at] of recorded) {
-        if (Math.abs(now - at) > MAX_RECENT_AGE_MS) recorded.delete(machine);
+        if (now > at + KEEP_MS) recorded.delete(machine);
       }
       for (const machine of machines) recorded.set(machine, now);
       const result = await store.transact({
@@ -78,7 +82,14 @@
         puts: [
           {
             key: MACHINE_ORDERS_KEY,
-            value: JSON.stringify(Object.fromEntries(recorded)),
+            value: JSON.stringify(
+              Object.fromEntries(
+                [...recorded].map(([machine, at]) => [
+                  machine,
+                  Math.round(unixNow() + at - now),
+                ]),
+              ),
+            ),
           },
         ],
         removals: [],
--- a/src/actors/workflows/retention.ts
+++ b/src/actors/workflows/retention.ts
@@ -3,6 +3,8 @@
 
 /** Deletes workflows whose retention period has passed. */
 export interface Retention {
+  /** Starts the retention period of a workflow that has just ended. */
+  recordEnd(id: string): void;
   /** Requests the deletion of expired workflows. */
   review(): void;
   /**
@@ -13,29 +15,44 @@
 }
 
 /**
- * Margin in ms added to the retention period, as the wall clocks of hosts may
+ * Margin in ms added to the retention period, as the clocks of two leaders may
  * differ by seconds.
  */
-const CLOCK_SKEW_MS = 20_000;
+const MARGIN_MS = 20_000;
 
 /**
  * Creates the retention of a term.
  *
+ * The period is measured on the monotonic clock. Only the time that passed
+ * before this term is taken from the Unix times that earlier leaders stored.
+ *
  * @param records workflows by id
  * @param keepStateMs retention period after the end of a workflow, in ms
  * @param remove deletes keys, fenced by the leader's term
+ * @param unixNow returns the current Unix time in ms
  */
 export function createRetention(
   records: Map<string, WorkflowRecord>,
   keepStateMs: number,
   remove: (keys: readonly string[]) => void,
+  unixNow: () => number,
 ): Retention {
   /** Workflows whose keys are being deleted. */
   const removing = new Set<string>();
+  /** Monotonic times in ms at which workflows were first seen as ended. */
+  const endedSince = new Map<string, number>();
+
+  /** Returns the time in ms since a workflow ended in an earlier term. */
+  function measurePriorAge({endedAt}: WorkflowRecord): number {
+    return Math.max(unixNow() - endedAt, 0);
+  }
 
-  function isExpired(record: WorkflowRecord): boolean {
+  function isExpired(id: string, record: WorkflowRecord): boolean {
     if (!isFinal(record.state)) return false;
-    if (record.endedAt > Date.now() - keepStateMs - CLOCK_SKEW_MS) return false;
+    const now = performance.now();
+    const since = endedSince.get(id) ?? now - measurePriorAge(record);
+    endedSince.set(id, since);
+    if (now < since + keepStateMs + MARGIN_MS) return false;
     if (record.storedVersion < record.version) return false;
     let busy = false;
     forEachTask(record, task => (busy ||= task.placement !== undefined));
@@ -43,9 +60,10 @@
   }
 
   return {
+    recordEnd: id => void endedSince.set(id, performance.now()),
     review() {
       for (const [id, record] of records) {
-        if (removing.has(id) || !isExpired(record)) continue;
+        if (removing.has(id) || !isExpired(id, record)) continue;
         removing.add(id);
         remove([getWorkKey(id), getStateKey(id), getCancelKey(id)]);
       }
@@ -54,6 +72,7 @@
       for (const id of removing) {
         if (keys.has(getWorkKey(id))) continue;
         removing.delete(id);
+        endedSince.delete(id);
         records.delete(id);
       }
     },
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -38,6 +38,8 @@
   readonly runTimes: RunTimes;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
+  /** Returns the current Unix time in ms. */
+  readonly unixNow: () => number;
   readonly log: Log;
 }
 
@@ -60,13 +62,15 @@
   tickets,
   runTimes,
   store,
+  unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
-  function listCandidates(unixNow: number): Map<string, Candidate[]> {
+  function listCandidates(): Map<string, Candidate[]> {
+    const now = unixNow();
     const byPool = new Map<string, Candidate[]>();
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
-      const groups = listReadyGroups(record, unixNow).filter(hasWaiting);
+      const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
       const expect = (declaredMs: number) =>
@@ -83,10 +87,10 @@
       const remainingMs = getCriticalPathMs(remainingSteps, expect);
       const urgency = getUrgency(
         workflow,
-        getDueAt(workflow, occurrence) || workflow.acceptedAt,
+        getDueAt(workflow, occurrence) || record.acceptedAt,
         criticalPathMs,
         remainingMs,
-        unixNow,
+        now,
       );
       const list = byPool.get(workflow.pool);
       const candidate = {record, urgency, groups};
@@ -163,7 +167,7 @@
       tasks: placed.length,
       first: placed[0].task.name,
       host: placed[0].room.host.id,
-      waitedMs: Date.now() - record.workflow.acceptedAt,
+      waitedMs: unixNow() - record.acceptedAt,
     });
     store(record, () => {
       for (const {task, room} of placed) {
@@ -175,8 +179,7 @@
 
   return {
     placeAll() {
-      const unixNow = Date.now();
-      for (const [pool, candidates] of listCandidates(unixNow)) {
+      for (const [pool, candidates] of listCandidates()) {
         const usable = sessions.listUsable(pool);
         if (usable.length === 0) continue;
         const rooms = usable.map(session => session.room);
--- a/src/actors/workflows/wave_records.ts
+++ b/src/actors/workflows/wave_records.ts
@@ -48,6 +48,7 @@
  * @param fence the leader's fencing token, a condition of each write
  * @param waves mirror of the waves declared by the operator
  * @param report reports a wave's progress to the operator
+ * @param unixNow returns the current Unix time in ms
  * @param log receives starts and completions of waves
  */
 export function createWaveRecords(
@@ -55,10 +56,13 @@
   fence: number,
   waves: Mirror<MaintenanceWave>,
   report: (wave: number, complete: boolean) => Promise<boolean>,
+  unixNow: () => number,
   log: Log,
 ): WaveRecords {
   const serviced = new Map<number, Set<string>>();
   const startTimes = new Map<number, number>();
+  /** Monotonic times in ms by which waves must be complete. */
+  const endsAt = new Map<number, number>();
   const reported = new Set<number>();
 
   function listWaves(): readonly MaintenanceWave[] {
@@ -67,7 +71,7 @@
 
   async function write(number: number): Promise<void> {
     const record: StoredWave = {
-      startedAt: startTimes.get(number) ?? Date.now(),
+      startedAt: startTimes.get(number) ?? unixNow(),
       serviced: [...(serviced.get(number) ?? [])],
     };
     const result = await store.transact({
@@ -87,15 +91,23 @@
 
   return {
     async load() {
-      for (const {number} of listWaves()) {
+      for (const wave of listWaves()) {
+        const {number} = wave;
         if (serviced.has(number)) continue;
         const found = await store.get(getWaveKey(number));
         if (found.isErr) return;
         const record = found.value
           ? (JSON.parse(found.value.value) as StoredWave)
-          : {startedAt: Date.now(), serviced: []};
+          : {startedAt: unixNow(), serviced: []};
         serviced.set(number, new Set(record.serviced));
         startTimes.set(number, record.startedAt);
+        // A clock that differs from the earlier leader's must not make the
+        // wave look as if it began in the future or long ago.
+        const {durationMs} = wave;
+        const elapsedMs = unixNow() - record.startedAt;
+        const endsInMs =
+          durationMs - Math.min(Math.max(elapsedMs, 0), durationMs);
+        endsAt.set(number, performance.now() + endsInMs);
         if (found.value) continue;
         log.info('wave', {wave: number, decision: 'started'});
         void write(number);
@@ -109,12 +121,11 @@
     hasOpen: () => listWaves().some(({number}) => !reported.has(number)),
     view(wave, machines, isOrdered) {
       const {number} = wave;
-      const endsAt = (startTimes.get(number) ?? 0) + wave.durationMs;
       return {
         number,
         machines: wave.machines,
         limit: wave.limit,
-        remainingMs: endsAt - Date.now(),
+        remainingMs: (endsAt.get(number) ?? 0) - performance.now(),
         serviced: serviced.get(number) ?? new Set(),
         down: wave.machines.filter(
           id =>
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -10,6 +10,8 @@
   state: WorkflowState;
   /** Whether a host has confirmed the start of one of its tasks. */
   begun: boolean;
+  /** Unix time in ms of the acceptance on the clock of the leader. */
+  readonly acceptedAt: number;
   /** Unix time in ms of the end; 0 before. */
   endedAt: number;
   /** Tasks by `occurrence.step`, created on first access. */
@@ -46,17 +48,20 @@
  * @param stored its state, as stored by an entry host or an earlier leader
  * @param progress its progress, as stored by an earlier leader
  * @param now monotonic time in ms
+ * @param acceptedAt Unix time in ms of the acceptance on the leader's clock
  */
 export function createWorkflowRecord(
   workflow: Workflow,
   stored: StoredState | undefined,
   progress: StoredProgress,
   now: number,
+  acceptedAt = workflow.acceptedAt,
 ): WorkflowRecord {
   const record: WorkflowRecord = {
     workflow,
     state: stored?.state ?? WorkflowState.Pending,
     begun: stored?.begun ?? false,
+    acceptedAt,
     endedAt: stored?.endedAt ?? 0,
     groups: new Map(),
     version: 0,
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -15,7 +15,7 @@
 import {LoadReport} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
 import {Machines, PlacementAdvisor, TaskHosts} from '../ports/hosts';
-import {Mirror, createMirror} from '../state';
+import {Mirror, createMirror, createUnixClock} from '../state';
 import {Log, PoolGauge} from '../telemetry';
 import {FleetConfiguration, MaintenanceWave, TaskHost} from '../types/workflow';
 
@@ -129,6 +129,10 @@
   times,
   log,
 }: WorkflowEntryHostOptions): WorkflowEntryHost {
+  const clock = createUnixClock(({stepMs}) =>
+    log.warn('clock step', {stepMs, decision: 'ignored for now'}),
+  );
+  const unixNow = () => clock.now();
   let latest: FleetConfiguration | undefined;
   let coordinator: Coordinator | undefined;
   let machineManager: MachineManager | undefined;
@@ -170,6 +174,7 @@
         times,
         live,
         registry,
+        unixNow,
         log,
         onFenced: cause => leadership.resign(cause),
       });
@@ -181,6 +186,7 @@
         holder: {holder: `${memberId}/${term.fence}`, fence: term.fence},
         getTermAgeMs: () => term.getAgeMs(),
         getConfiguration: () => latest,
+        unixNow,
         times: machineTimes,
         reportWave,
         log,
@@ -218,6 +224,7 @@
     live,
     getLoad: () =>
       live.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
+    unixNow,
     log,
   });
 
