Read single workflow states instead of following all of them

Cause: every entry host followed the states of all workflows by a watch that returned every 80 ms under load. Change: an entry host watches only the leader and its load report, and reads the state that a caller asks for from the store; final states are kept. The leader watches cancellations, and publishes the numbers of waiting workflows with the load, at most once a second.

--- /dev/null
+++ b/features/workflows/entry_hosts.feature
@@ -0,0 +1,17 @@
+Feature: The cost of an entry host does not grow with the work of the others
+  Only the leader follows the workflows. The other entry hosts follow the leader
+  and its load report, and read the single states that callers ask for.
+
+  Scenario: Many workflows run, and idle entry hosts make few calls to the store
+    Given 6 entry hosts and 8 hosts for workflows
+    When 200 workflows are submitted, one every 50 ms
+    Then every entry host that was not called made at most 4 store calls per second
+
+  @promise-long-work @failure-store-down
+  Scenario: A final state that was read is still answered while the store is unreachable
+    Given 3 entry hosts and 4 hosts for workflows
+    When a workflow of 4 tasks of 500 ms is submitted
+    Then it is "completed" within 3 s
+    When its state has been read at every entry host
+    And the store is unreachable from every entry host
+    Then every entry host says that it is "completed"
--- /dev/null
+++ b/features/workflows/entry_hosts.steps.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {settle} from '../support/paused_clock';
+import {getSubmitted, getWorld} from './running.steps';
+import {QUEUE} from './workflow_world';
+
+async function readStates(): Promise<readonly (string | undefined)[]> {
+  const [{id}] = getSubmitted();
+  const states = await Promise.all(
+    getWorld().members.map(({entry}) =>
+      settle(entry.intake.readState(QUEUE, id)),
+    ),
+  );
+  return states.map(state => state.unwrapOr(undefined));
+}
+
+Then(
+  'every entry host that was not called made at most {int} store calls per second',
+  (limit: number) => {
+    const [called, ...others] = getWorld().members;
+    const leader = getWorld().getLeader();
+    const seconds = performance.now() / 1_000;
+    for (const member of others) {
+      if (member === leader || member === called) continue;
+      const rate = member.countStoreCalls() / seconds;
+      assert.ok(rate <= limit, `${member.id}: ${rate} calls per second`);
+    }
+  },
+);
+
+When('its state has been read at every entry host', async () => {
+  await readStates();
+});
+
+Then('every entry host says that it is {string}', async (expected: string) => {
+  for (const state of await readStates()) assert.equal(state, expected);
+});
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -31,6 +31,8 @@
   cutFromHosts: boolean;
   /** False once the entry host was killed. */
   alive: boolean;
+  /** Returns the number of its calls to the store. */
+  countStoreCalls(): number;
 }
 
 /** Result of a submission. */
@@ -209,14 +211,18 @@
   function addMember(): TestMember {
     const id = `entry-${members.length + 1}`;
     const faults = createStoreFaults();
+    let storeCalls = 0;
     const member: TestMember = {
       id,
       faults,
       cutFromHosts: false,
       alive: true,
+      countStoreCalls: () => storeCalls,
       entry: createWorkflowEntryHost({
         memberId: id,
-        store: createMemoryStore(keyValue, faults, random),
+        store: createMemoryStore(keyValue, faults, random, () => {
+          storeCalls += 1;
+        }),
         hosts: fleet.createTaskHosts(() => member.cutFromHosts),
         advice: fleet.createAdvice(),
         machines: fleet.createMachines(() => member.cutFromHosts),
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -25,7 +25,6 @@
   LEADER_KEY,
   LOAD_KEY,
   WORK_PREFIX,
-  getCancelKey,
   getProgressKey,
   getStateKey,
 } from './keys';
@@ -87,8 +86,6 @@
   readonly advice: PlacementAdvisor;
   readonly term: Term;
   readonly times: CoordinatorTimes;
-  /** Mirror of the keys under `LIVE_PREFIX` in the store. */
-  readonly live: Mirror<unknown>;
   /** Mirror of the host registry. */
   readonly registry: Mirror<TaskHost>;
   /** Returns the current Unix time in ms. */
@@ -105,6 +102,8 @@
  * returns several workflows.
  */
 const WATCH_INTERVAL_MS = 10;
+/** Minimum time between two reads of cancellations, in ms. */
+const CANCEL_INTERVAL_MS = 80;
 /** Delay before retrying a failed store read, in ms. */
 const RETRY_MS = 200;
 /**
@@ -131,7 +130,6 @@
   advice,
   term,
   times,
-  live,
   registry,
   unixNow,
   log,
@@ -200,22 +198,35 @@
   }
 
   function startWatching(stored: StoredWorkflows): void {
+    const mirrorOptions = {waitMs: WATCH_WAIT_MS, retryMs: RETRY_MS};
     const work = createMirror<Workflow>(store, WORK_PREFIX, {
-      waitMs: WATCH_WAIT_MS,
+      ...mirrorOptions,
       minIntervalMs: WATCH_INTERVAL_MS,
-      retryMs: RETRY_MS,
     });
-    disposers.push(() => work.dispose());
-    disposers.push(registry.entries.onChange(readRegistry));
-    disposers.push(live.entries.onChange(readCancellations));
+    const cancellations = createMirror<unknown>(store, CANCEL_PREFIX, {
+      ...mirrorOptions,
+      minIntervalMs: CANCEL_INTERVAL_MS,
+    });
     disposers.push(
-      work.entries.onChange(entries => {
-        for (const {value} of entries.values()) admit(value, stored);
-        retention.updateStoredKeys(entries);
-        if (!ready) takeOver(entries.size);
-        schedulePlacement();
-      }),
+      () => work.dispose(),
+      () => cancellations.dispose(),
     );
+    disposers.push(registry.entries.onChange(readRegistry));
+    function update(): void {
+      // A cancelled workflow must not start, so both lists are needed first.
+      const isLoaded = work.synced.get() && cancellations.synced.get();
+      if (!ready && !isLoaded) return;
+      const entries = work.entries.get();
+      for (const {value} of entries.values()) admit(value, stored);
+      retention.updateStoredKeys(entries);
+      if (!ready) takeOver(entries.size);
+      cancelRequested(cancellations.entries.get());
+      schedulePlacement();
+    }
+    for (const mirror of [work, cancellations]) {
+      disposers.push(mirror.entries.onChange(update));
+      disposers.push(mirror.synced.onChange(update));
+    }
     const review = setInterval(() => {
       sessions.evacuate();
       schedulePlacement();
@@ -245,7 +256,6 @@
     );
     records.set(id, record);
     if (ready) forecastWork(workflow);
-    if (live.entries.get().has(getCancelKey(id))) cancel(record);
   }
 
   function forecastWork({queue, pool, steps, firstAt}: Workflow): void {
@@ -305,10 +315,8 @@
     schedulePlacement();
   }
 
-  function readCancellations(entries: ReadonlyMap<string, unknown>): void {
-    if (!ready) return;
+  function cancelRequested(entries: ReadonlyMap<string, unknown>): void {
     for (const key of entries.keys()) {
-      if (!key.startsWith(CANCEL_PREFIX)) continue;
       const record = records.get(key.slice(CANCEL_PREFIX.length));
       if (record) cancel(record);
     }
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -6,10 +6,12 @@
   checkAdmission,
 } from '../../decisions/workflows';
 import {Store, StoreFailure} from '../../ports';
-import {Mirror, createAdaptiveTimeout} from '../../state';
+import {createAdaptiveTimeout} from '../../state';
 import {Log} from '../../telemetry';
 import {Queue, Step, Workflow, WorkflowState} from '../../types/workflow';
-import {STATE_PREFIX, getCancelKey, getStateKey, getWorkKey} from './keys';
+import {getCancelKey, getStateKey, getWorkKey} from './keys';
+import {createRecentKeys} from './recent_keys';
+import {createStateReader} from './state_reader';
 
 /** Outcome of a submission. */
 export enum SubmitOutcome {
@@ -64,7 +66,7 @@
   cancel(queue: Queue, id: string): Promise<CancelOutcome>;
   /**
    * Returns the number of a queue's accepted workflows of which no task has
-   * started.
+   * started, as the leader last published it.
    */
   countWaiting(queue: string): number;
 }
@@ -72,8 +74,9 @@
 /** Dependencies of an intake. */
 export interface IntakeOptions {
   readonly store: Store;
-  /** Mirror of the keys under `LIVE_PREFIX` in the store. */
-  readonly live: Mirror<unknown>;
+  /** Returns whether the last call to the store was answered. */
+  readonly isConnected: () => boolean;
+  /** Returns the leader's last report; undefined if none was received. */
   readonly getLoad: () => LoadReport | undefined;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
@@ -88,6 +91,8 @@
 const MAX_CREATE_ATTEMPTS = 3;
 /** Retry delay in ms suggested to callers while the store is unavailable. */
 const STORE_RETRY_MS = 1_000;
+/** Number of cancelled workflows that an entry host remembers. */
+const MAX_CANCELLED = 4_096;
 
 /**
  * Creates the intake of an entry host.
@@ -95,29 +100,26 @@
  * A workflow is accepted by creating its key in the store, so submitting the
  * same id at any entry host refers to the same workflow.
  *
- * @param options the store, its mirrored keys and the log
+ * @param options the store, the leader's load report and the log
  */
 export function createIntake({
   store,
-  live,
+  isConnected,
   getLoad,
   unixNow,
   log,
 }: IntakeOptions): Intake {
   const storeTimeout = createAdaptiveTimeout();
-
-  function getState(id: string): StoredState | undefined {
-    const entry = live.entries.get().get(getStateKey(id));
-    return entry?.value as StoredState | undefined;
-  }
+  const states = createStateReader(store);
+  /** Workflows that were cancelled through this entry host. */
+  const cancelled = createRecentKeys(MAX_CANCELLED);
 
   async function submit(
     queue: Queue,
     id: string,
     draft: WorkflowDraft,
   ): Promise<SubmitAnswer> {
-    if (getState(id)) return {outcome: SubmitOutcome.Accepted};
-    if (!live.connected.get()) {
+    if (!isConnected()) {
       return {
         outcome: SubmitOutcome.Unavailable,
         retryAfterMs: STORE_RETRY_MS,
@@ -178,45 +180,35 @@
     };
   }
 
-  async function findState(
+  async function readState(
+    queue: Queue,
     id: string,
-  ): Promise<Result<StoredState | undefined, StoreFailure>> {
-    const known = getState(id);
-    if (known) return Result.ok(known);
-    const found = await store.get(getStateKey(id));
-    return found.map(entry =>
-      entry === undefined
-        ? undefined
-        : (JSON.parse(entry.value) as StoredState),
-    );
-  }
-
-  async function readState(queue: Queue, id: string) {
-    const stored = await findState(id);
+  ): Promise<Result<WorkflowState | undefined, StoreFailure>> {
+    const stored = await states.read(id);
     return stored.map(found => {
       if (!found || found.queue !== queue.name) return undefined;
       if (isFinal(found.state)) return found.state;
-      const cancelled = live.entries.get().has(getCancelKey(id));
-      return cancelled ? WorkflowState.Cancelled : found.state;
+      return cancelled.has(id) ? WorkflowState.Cancelled : found.state;
     });
   }
 
   async function cancel(queue: Queue, id: string): Promise<CancelOutcome> {
-    const stored = await findState(id);
+    const stored = await states.read(id);
     if (stored.isErr) return CancelOutcome.Unavailable;
     if (!stored.value || stored.value.queue !== queue.name) {
       return CancelOutcome.NotFound;
     }
     if (isFinal(stored.value.state)) return CancelOutcome.Cancelled;
-    if (live.entries.get().has(getCancelKey(id))) {
-      return CancelOutcome.Cancelled;
-    }
+    if (cancelled.has(id)) return CancelOutcome.Cancelled;
     const result = await store.transact({
       conditions: new Map(),
       puts: [{key: getCancelKey(id), value: JSON.stringify(unixNow())}],
       removals: [],
     });
-    if (result.isOk) return CancelOutcome.Cancelled;
+    if (result.isOk) {
+      cancelled.add(id);
+      return CancelOutcome.Cancelled;
+    }
     return result.error === StoreFailure.AnswerLost
       ? CancelOutcome.Unknown
       : CancelOutcome.Unavailable;
@@ -241,18 +233,6 @@
       log.info('cancellation', {request: id, decision: 'cancel', outcome});
       return outcome;
     },
-    countWaiting(queue) {
-      let waiting = 0;
-      const entries = live.entries.get();
-      for (const [key, {value}] of entries) {
-        if (!key.startsWith(STATE_PREFIX)) continue;
-        const stored = value as StoredState;
-        if (stored.queue !== queue || stored.begun) continue;
-        if (isFinal(stored.state)) continue;
-        if (entries.has(getCancelKey(key.slice(STATE_PREFIX.length)))) continue;
-        waiting += 1;
-      }
-      return waiting;
-    },
+    countWaiting: queue => getLoad()?.waiting?.[queue] ?? 0,
   };
 }
--- a/src/actors/workflows/keys.ts
+++ b/src/actors/workflows/keys.ts
@@ -1,26 +1,25 @@
 /** Prefix of accepted workflows; each is written once. */
 export const WORK_PREFIX = 'work/';
 /**
- * Prefix of the keys that every entry host watches: leader, load, workflow
- * states and cancellations.
+ * Prefix of the keys that every entry host watches: leader and load. Nothing
+ * under it grows with the number of workflows.
  */
-export const LIVE_PREFIX = 'live/';
+export const WATCHED_PREFIX = 'live/l';
 /** Key of the elected leader, bound to its lease. */
-export const LEADER_KEY = `${LIVE_PREFIX}leader`;
+export const LEADER_KEY = `${WATCHED_PREFIX}eader`;
+/** Key of the load report that the leader publishes for its pools. */
+export const LOAD_KEY = `${WATCHED_PREFIX}oad`;
 /** Prefix of workflow states. */
-export const STATE_PREFIX = `${LIVE_PREFIX}state/`;
+export const STATE_PREFIX = 'live/state/';
 /** Prefix of workflow progress, which only a new leader reads. */
 export const PROGRESS_PREFIX = 'progress/';
-/** Prefix of cancellation requests. */
-export const CANCEL_PREFIX = `${LIVE_PREFIX}cancel/`;
+/** Prefix of cancellation requests, which the leader watches. */
+export const CANCEL_PREFIX = 'live/cancel/';
 /**
  * Key that each ledger write of the leader replaces, so that a delayed write
  * fails its condition.
  */
 export const LEDGER_KEY = 'ledger/last';
-/** Key of the load report that the leader publishes for its pools. */
-export const LOAD_KEY = `${LIVE_PREFIX}load`;
-
 /** Key of the machines with recent orders, written before each order. */
 export const MACHINE_ORDERS_KEY = 'machines/orders';
 
--- a/src/actors/workflows/load_reporter.ts
+++ b/src/actors/workflows/load_reporter.ts
@@ -8,8 +8,8 @@
 } from '../../decisions/workflows';
 
 /**
- * Publishes how long each pool needs to complete its accepted workflows, for
- * admission at the entry hosts.
+ * Publishes how long each pool needs to complete its accepted workflows, and
+ * how many of each queue wait, for the entry hosts.
  */
 export interface LoadReporter {
   /**
@@ -20,6 +20,11 @@
 
 /** Minimum change of a pool's drain time, in ms, that triggers a new report. */
 const MIN_DRAIN_CHANGE_MS = 500;
+/**
+ * Minimum time in ms between two reports that differ only in the numbers of
+ * waiting workflows; callers accept numbers that are 2 s old.
+ */
+const WAITING_INTERVAL_MS = 1_000;
 /** Share of a pool's CPU that placement can use in practice. */
 const USABLE_SHARE = 0.85;
 /**
@@ -43,11 +48,13 @@
   publish: (report: LoadReport) => Promise<boolean>,
 ): LoadReporter {
   let published: LoadReport = {pools: {}};
+  let publishedAt = -Infinity;
   let publishing = false;
 
   function measure(): LoadReport {
     const work = new Map<string, number>();
     const factors = new Map<string, Record<string, number>>();
+    const waiting: Record<string, number> = {};
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
       const {pool, queue} = record.workflow;
@@ -56,6 +63,7 @@
         runTimes.estimate(queue, REFERENCE_RUN_MS) / REFERENCE_RUN_MS;
       factors.set(pool, queues);
       work.set(pool, (work.get(pool) ?? 0) + measureWork(record));
+      if (!record.begun) waiting[queue] = (waiting[queue] ?? 0) + 1;
     }
     const pools: Record<string, PoolLoad> = {};
     for (const [pool, sum] of work) {
@@ -64,7 +72,7 @@
       );
       pools[pool] = {drainMs, runTimeFactors: factors.get(pool) ?? {}};
     }
-    return {pools};
+    return {pools, waiting};
   }
 
   /**
@@ -85,6 +93,18 @@
     return sum;
   }
 
+  function isDue(report: LoadReport): boolean {
+    if (hasChangedMuch(report)) return true;
+    if (performance.now() < publishedAt + WAITING_INTERVAL_MS) return false;
+    return hasOtherWaiting(report);
+  }
+
+  function hasOtherWaiting({waiting = {}}: LoadReport): boolean {
+    const before = published.waiting ?? {};
+    const queues = Object.keys({...before, ...waiting});
+    return queues.some(queue => before[queue] !== waiting[queue]);
+  }
+
   function hasChangedMuch({pools}: LoadReport): boolean {
     return Object.entries(pools).some(([pool, {drainMs}]) => {
       const before = published.pools[pool]?.drainMs ?? 0;
@@ -96,8 +116,9 @@
     async review() {
       if (publishing) return;
       const report = measure();
-      if (!hasChangedMuch(report)) return;
+      if (!isDue(report)) return;
       publishing = true;
+      publishedAt = performance.now();
       if (await publish(report)) published = report;
       publishing = false;
     },
--- /dev/null
+++ b/src/actors/workflows/state_reader.ts
@@ -0,0 +1,65 @@
+import {Result} from 'true-myth';
+import {StoredState, isFinal} from '../../decisions/workflows';
+import {Store, StoreFailure} from '../../ports';
+import {getStateKey} from './keys';
+
+/**
+ * Reads workflow states from the store, so that an entry host needs no copy of
+ * the states of all workflows.
+ */
+export interface StateReader {
+  /** Returns a workflow's stored state; undefined if there is none. */
+  read(id: string): Promise<Result<StoredState | undefined, StoreFailure>>;
+}
+
+/**
+ * Number of final states that are kept; about as many as callers of one entry
+ * host ask for within the retention period.
+ */
+const MAX_FINAL_STATES = 4_096;
+
+/**
+ * Creates a reader.
+ *
+ * A final state never changes, so it is read once. Simultaneous reads of one
+ * workflow share a call to the store.
+ *
+ * @param store the key-value store
+ */
+export function createStateReader(store: Store): StateReader {
+  const finalStates = new Map<string, StoredState>();
+  const reading = new Map<string, ReturnType<StateReader['read']>>();
+
+  async function fetch(
+    id: string,
+  ): Promise<Result<StoredState | undefined, StoreFailure>> {
+    const found = await store.get(getStateKey(id));
+    reading.delete(id);
+    const state = found.map(entry =>
+      entry === undefined
+        ? undefined
+        : (JSON.parse(entry.value) as StoredState),
+    );
+    if (state.isOk && state.value && isFinal(state.value.state)) {
+      keep(id, state.value);
+    }
+    return state;
+  }
+
+  function keep(id: string, state: StoredState): void {
+    finalStates.set(id, state);
+    if (finalStates.size <= MAX_FINAL_STATES) return;
+    const [oldest] = finalStates.keys();
+    finalStates.delete(oldest);
+  }
+
+  return {
+    async read(id) {
+      const known = finalStates.get(id);
+      if (known) return Result.ok(known);
+      const pending = reading.get(id) ?? fetch(id);
+      reading.set(id, pending);
+      return pending;
+    },
+  };
+}
--- a/src/decisions/workflows/admission.ts
+++ b/src/decisions/workflows/admission.ts
@@ -7,6 +7,11 @@
  */
 export interface LoadReport {
   readonly pools: Readonly<Record<string, PoolLoad>>;
+  /**
+   * Number of accepted workflows of which no task has started, by queue; absent
+   * in reports of earlier versions.
+   */
+  readonly waiting?: Readonly<Record<string, number>>;
 }
 
 /** Load of one pool. */
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -3,10 +3,10 @@
   CoordinatorTimes,
   Intake,
   LEADER_KEY,
-  LIVE_PREFIX,
   LOAD_KEY,
   MachineManager,
   MachineTimes,
+  WATCHED_PREFIX,
   createCoordinator,
   createIntake,
   createLeadership,
@@ -85,11 +85,6 @@
  * connection causes.
  */
 const WATCH_WAIT_MS = 1_200;
-/**
- * Minimum time between two reads of workflow states in ms; bounded by how stale
- * an answer to a caller may be.
- */
-const LIVE_MIN_INTERVAL_MS = 80;
 /**
  * Minimum time between two reads of the registry in ms; well below the time
  * within which a leaving host must be detected.
@@ -144,10 +139,7 @@
     configurationKeys.prefix,
     {...mirrorOptions, decode: entry => configurationKeys.read(entry)},
   );
-  const live = createMirror<unknown>(store, LIVE_PREFIX, {
-    ...mirrorOptions,
-    minIntervalMs: LIVE_MIN_INTERVAL_MS,
-  });
+  const watched = createMirror<unknown>(store, WATCHED_PREFIX, mirrorOptions);
   const leadership = createLeadership({
     store,
     memberId,
@@ -172,7 +164,6 @@
         advice,
         term,
         times,
-        live,
         registry,
         unixNow,
         log,
@@ -211,19 +202,19 @@
       });
     }
   });
-  live.entries.onChange(entries => {
+  watched.entries.onChange(entries => {
     leadership.observe(entries.get(LEADER_KEY)?.version ?? 0);
   });
-  live.connected.onChange(connected => {
+  watched.connected.onChange(connected => {
     if (connected) log.info('store regained');
     else log.warn('store lost');
   });
 
   const intake = createIntake({
     store,
-    live,
+    isConnected: () => watched.connected.get(),
     getLoad: () =>
-      live.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
+      watched.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
     unixNow,
     log,
   });
@@ -232,11 +223,11 @@
     intake,
     getConfiguration: () => latest,
     isReady: () =>
-      latest !== undefined && live.synced.get() && live.connected.get(),
+      latest !== undefined && watched.synced.get() && watched.connected.get(),
     readPools: () => coordinator?.readPools() ?? [],
     async dispose() {
       await leadership.dispose();
-      for (const mirror of [configuration, live]) mirror.dispose();
+      for (const mirror of [configuration, watched]) mirror.dispose();
     },
   };
 }
