Log the load of each pool once a second

Change: the leader logs machines, hosts, waiting and placed tasks, free processors and the longest delay of its timers, per pool with work and once a second.

--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -27,6 +27,7 @@
   measurePoolCpu,
 } from './machine_views';
 import {createOrderLog} from './order_log';
+import {createPoolLog} from './pool_log';
 import {createWaveRecords} from './wave_records';
 
 /**
@@ -147,6 +148,7 @@
     unixNow,
     log,
   );
+  const poolLog = createPoolLog(log, REVIEW_INTERVAL_MS);
   const orders = new Map<string, Order>();
   const cordonedAt = new Map<string, number>();
   const orderLog = createOrderLog(
@@ -229,6 +231,7 @@
     if (getTermAgeMs() >= MAX_TERM_AGE_MS || list.length === 0) return;
     const snapshot = views.takeSnapshot(isOrdered);
     coordinator.setPoolCpuMillis(measurePoolCpu(snapshot));
+    poolLog.review(snapshot, () => coordinator.readPools());
     const reserved = reviewWaves(snapshot);
     reviewPools(snapshot, reserved);
     void sendOrders();
