Keep machines that were idle only while the leader could not act

No work could be accepted, so 248 machines of a pool counted as idle for more than 2.2 s when the store answered again; 146 were sent to the spare pool, and 132 of them were ordered back 2 s later for another pool whose callers returned. Change: idle times start anew after a second without a review. Result: scenario 'A machine is not idle for the time in which the leader could not act', which fails without the change.

--- a/features/workflows/machine_planning.feature
+++ b/features/workflows/machine_planning.feature
@@ -21,3 +21,11 @@
     Given 8 machines in "planner-api", 8 in "dish-desk" and 4 spare ones
     When no work for "dish-desk" has been observed and every machine is idle for 60 s
     Then only machines of "planner-api" are planned to move to the spare pool
+
+  Scenario: A machine is not idle for the time in which the leader could not act
+    Given an idle machine that the leader reviews every 100 ms
+    When 5 s of reviews pass
+    Then the machine counts as idle for 5 s
+    When 4 s pass without reviews
+    And 1 s of reviews pass
+    Then the machine counts as idle for 1 s
--- a/features/workflows/machine_planning.steps.ts
+++ b/features/workflows/machine_planning.steps.ts
@@ -8,7 +8,13 @@
   createDemandForecast,
   planPools,
 } from '../../src/decisions/workflows';
+import {Coordinator} from '../../src/actors/workflows';
+import {
+  MachineViews,
+  createMachineViews,
+} from '../../src/actors/workflows/machine_views';
 import {MachineState} from '../../src/types/workflow';
+import {advance} from '../support/paused_clock';
 
 const POOL = 'planner-api';
 const SPARE_POOL = 'backoffice';
@@ -166,3 +172,47 @@
     assert.ok(moves.every(({from, to}) => from === pool && to === SPARE_POOL));
   },
 );
+
+const REVIEW_INTERVAL_MS = 100;
+let views: MachineViews;
+let idleMs = 0;
+
+function review(): void {
+  const snapshot = views.takeSnapshot(() => false);
+  idleMs = snapshot.machines.get('m-1')?.idleMs ?? 0;
+}
+
+Given(
+  'an idle machine that the leader reviews every {int} ms',
+  (intervalMs: number) => {
+    assert.equal(intervalMs, REVIEW_INTERVAL_MS);
+    const coordinator: Partial<Coordinator> = {
+      sessions: new Map(),
+      records: new Map(),
+      forecast: createDemandForecast(),
+    };
+    views = createMachineViews(
+      coordinator as Coordinator,
+      () => undefined,
+      () => Date.now(),
+    );
+    views.setList([
+      {id: 'm-1', pool: POOL, state: MachineState.Up, hostId: 'host-1'},
+    ]);
+  },
+);
+
+When('{int} s of reviews pass', async (seconds: number) => {
+  for (let count = 0; count <= seconds * 10; count += 1) {
+    review();
+    await advance(REVIEW_INTERVAL_MS);
+  }
+});
+
+When('{int} s pass without reviews', (seconds: number) =>
+  advance(seconds * 1_000),
+);
+
+Then('the machine counts as idle for {int} s', (seconds: number) =>
+  assert.equal(idleMs, seconds * 1_000),
+);
--- a/src/actors/workflows/machine_views.ts
+++ b/src/actors/workflows/machine_views.ts
@@ -47,6 +47,12 @@
  * keep their size: the maximum pause between bursts of a queue.
  */
 const LEARNING_PERIOD_MS = 30_000;
+/**
+ * Time in ms without a snapshot after which idle times start anew: while the
+ * leader could not act, no work could be accepted, so idle machines say nothing
+ * about the load.
+ */
+const MAX_SNAPSHOT_GAP_MS = 1_000;
 
 /**
  * Creates the views of a term.
@@ -62,6 +68,7 @@
 ): MachineViews {
   const startedAt = performance.now();
   const idleSince = new Map<string, number>();
+  let snapshotAt = startedAt;
   let list: readonly Machine[] = [];
 
   /**
@@ -163,6 +170,9 @@
       list = next;
     },
     takeSnapshot(isOrdered) {
+      const now = performance.now();
+      if (now > snapshotAt + MAX_SNAPSHOT_GAP_MS) idleSince.clear();
+      snapshotAt = now;
       const index = indexSessions();
       const views = list.map(machine =>
         viewMachine(
