--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -8,11 +8,10 @@
   Urgency,
   WorkflowRecord,
   compareUrgency,
+  createPathEstimates,
   createPlacement,
   createUnplaceableSizes,
-  getCriticalPathMs,
   getDueAt,
-  getFirstUnfinishedOccurrence,
   isFinal,
   getUrgency,
   listReadyGroups,
@@ -67,6 +66,8 @@
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
+  const paths = createPathEstimates(runTimes);
+
   function listCandidates(): Map<string, Candidate[]> {
     const now = unixNow();
     const byPool = new Map<string, Candidate[]>();
@@ -75,18 +76,10 @@
       const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
-      const expect = (declaredMs: number) =>
-        runTimes.estimate(workflow.queue, declaredMs);
-      const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
-      const occurrence = getFirstUnfinishedOccurrence(record);
-      const remainingSteps = workflow.steps.map((step, index) =>
-        record.groups
-          .get(`${occurrence}.${index}`)
-          ?.every(task => task.phase === TaskPhase.Done)
-          ? {...step, estimateMs: 0}
-          : step,
+      const {occurrence, criticalPathMs, remainingMs} = paths.get(
+        record,
+        performance.now(),
       );
-      const remainingMs = getCriticalPathMs(remainingSteps, expect);
       const urgency = getUrgency(
         workflow,
         getDueAt(workflow, occurrence) || record.acceptedAt,
