Log the leader's share of a processor with the pools

Cause: the leader's processor limits the large deployment, and neither log nor metrics showed it. Change: the lines 'pool' state the share used since the last ones.

--- a/src/actors/workflows/pool_log.ts
+++ b/src/actors/workflows/pool_log.ts
@@ -25,6 +25,7 @@
   let reviewedAt = performance.now();
   let reportedAt = reviewedAt;
   let maxDelayMs = 0;
+  let usedBefore = readProcessorMs();
 
   return {
     review({machines, pools}, readPools) {
@@ -33,7 +34,13 @@
       maxDelayMs = Math.max(maxDelayMs, delayMs);
       reviewedAt = now;
       if (now < reportedAt + INTERVAL_MS) return;
+      const elapsedMs = now - reportedAt;
       reportedAt = now;
+      const used = readProcessorMs();
+      const processorPercent = Math.round(
+        (100 * (used - usedBefore)) / elapsedMs,
+      );
+      usedBefore = used;
       const sizes = new Map<string, number>();
       for (const {pool, serves} of machines.values()) {
         if (serves) sizes.set(pool, (sizes.get(pool) ?? 0) + 1);
@@ -52,9 +59,16 @@
           demandCpuMillis: Math.round(demandCpuMillis),
           expectedCpuMillis: Math.round(expectedCpuMillis),
           maxDelayMs: Math.round(maxDelayMs),
+          processorPercent,
         });
       }
       maxDelayMs = 0;
     },
   };
 }
+
+/** Returns the processor time that this process has used, in ms. */
+function readProcessorMs(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / 1_000;
+}
