--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -39,8 +39,6 @@
 export interface Submitted {
   readonly id: string;
   readonly outcome: SubmitOutcome;
-  /** Suggested delay before the next attempt, in ms. */
-  readonly retryAfterMs?: number;
 }
 
 /** A small deployment that runs on the paused clock. */
@@ -310,7 +308,7 @@
       const answer = await settle(
         member.entry.intake.submit(queue, id, fullDraft),
       );
-      return {id, ...answer};
+      return {id, outcome: answer.outcome};
     },
     async readState(id) {
       const member = members.find(each => each.alive && !each.faults.down);
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -4,7 +4,6 @@
   StoredState,
   isFinal,
   checkAdmission,
-  getOutageRetryMs,
 } from '../../decisions/workflows';
 import {Store, StoreFailure} from '../../ports';
 import {createAdaptiveTimeout} from '../../state';
@@ -75,11 +74,8 @@
 /** Dependencies of an intake. */
 export interface IntakeOptions {
   readonly store: Store;
-  /**
-   * Returns the time in ms since the store stopped answering; 0 while it
-   * answers.
-   */
-  readonly getOutageMs: () => number;
+  /** Returns whether the last call to the store was answered. */
+  readonly isConnected: () => boolean;
   /** Returns the leader's last report; undefined if none was received. */
   readonly getLoad: () => LoadReport | undefined;
   /** Returns the current Unix time in ms. */
@@ -93,6 +89,8 @@
  * ends as unknown.
  */
 const MAX_CREATE_ATTEMPTS = 3;
+/** Retry delay in ms suggested to callers while the store is unavailable. */
+const STORE_RETRY_MS = 1_000;
 /** Number of cancelled workflows that an entry host remembers. */
 const MAX_CANCELLED = 4_096;
 
@@ -106,7 +104,7 @@
  */
 export function createIntake({
   store,
-  getOutageMs,
+  isConnected,
   getLoad,
   unixNow,
   log,
@@ -121,7 +119,12 @@
     id: string,
     draft: WorkflowDraft,
   ): Promise<SubmitAnswer> {
-    if (getOutageMs() > 0) return refuseUnavailable();
+    if (!isConnected()) {
+      return {
+        outcome: SubmitOutcome.Unavailable,
+        retryAfterMs: STORE_RETRY_MS,
+      };
+    }
     const workflow: Workflow = {
       id,
       queue: queue.name,
@@ -171,12 +174,10 @@
       // If the key already existed, this is a repeated submission.
       return {outcome: SubmitOutcome.Accepted};
     }
-    return refuseUnavailable();
-  }
-
-  function refuseUnavailable(): SubmitAnswer {
-    const retryAfterMs = getOutageRetryMs(getOutageMs());
-    return {outcome: SubmitOutcome.Unavailable, retryAfterMs};
+    return {
+      outcome: SubmitOutcome.Unavailable,
+      retryAfterMs: STORE_RETRY_MS,
+    };
   }
 
   async function readState(
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -6,7 +6,6 @@
 export * from './host_room';
 export * from './machine_view';
 export * from './order_workflows';
-export * from './outage_retry';
 export * from './pace_fillers';
 export * from './path_estimates';
 export * from './place_tasks';
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -129,8 +129,6 @@
   );
   const unixNow = () => clock.now();
   let latest: FleetConfiguration | undefined;
-  /** Monotonic time in ms at which the store last stopped answering. */
-  let connectedUntil = -Infinity;
   let coordinator: Coordinator | undefined;
   let machineManager: MachineManager | undefined;
   /** Mirrors that exist only while this entry host is the leader. */
@@ -208,15 +206,13 @@
     leadership.observe(entries.get(LEADER_KEY)?.version ?? 0);
   });
   watched.connected.onChange(connected => {
-    if (connected) return log.info('store regained');
-    connectedUntil = performance.now();
-    log.warn('store lost');
+    if (connected) log.info('store regained');
+    else log.warn('store lost');
   });
 
   const intake = createIntake({
     store,
-    getOutageMs: () =>
-      watched.connected.get() ? 0 : performance.now() - connectedUntil,
+    isConnected: () => watched.connected.get(),
     getLoad: () =>
       watched.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
     unixNow,
