--- a/features/workflows/backlog.feature
+++ b/features/workflows/backlog.feature
@@ -23,25 +23,3 @@
     And one waiting step with a task that needs 2000 thousandths
     When the leader looks for room for all of them
     Then 1 task is placed
-
-  Scenario: The paths of waiting workflows are estimated once, not in every pass
-    Given 300 waiting steps of 8 tasks that need 1000 to 5000 thousandths each
-    When their paths are needed in 100 passes within 400 ms
-    Then run times were estimated at most 2 times per workflow
-
-  Scenario: A workflow that has changed is estimated again at once
-    Given 1 waiting steps of 8 tasks that need 1000 to 5000 thousandths each
-    When their paths are needed in 1 passes within 1 ms
-    And their tasks are done
-    Then nothing remains of their paths
-
-  Scenario Outline: Placement passes take at most a fifth of the processor time
-    When a placement pass has taken <pass> ms
-    Then the next one begins after <delay> ms
-
-    Examples:
-      | pass | delay |
-      | 0    | 4     |
-      | 1    | 4     |
-      | 6    | 24    |
-      | 50   | 200   |
--- a/features/workflows/backlog.steps.ts
+++ b/features/workflows/backlog.steps.ts
@@ -2,23 +2,16 @@
 import {Before, Given, Then, When} from '@cucumber/cucumber';
 import {
   HostRoom,
-  PathEstimate,
-  PathEstimates,
-  TaskPhase,
   TaskRecord,
-  WorkflowRecord,
-  createPathEstimates,
   createUnplaceableSizes,
   createWorkflowRecord,
   getGroup,
-  getPlacementDelayMs,
   placeTasks,
 } from '../../src/decisions/workflows';
 import {Step, Workflow} from '../../src/types/workflow';
 import {QUEUE, createStep} from './workflow_world';
 
 let rooms: HostRoom[] = [];
-let records: WorkflowRecord[] = [];
 let groups: TaskRecord[][] = [];
 let placedCount = 0;
 /** Number of times that the free processors of any host were read. */
@@ -26,7 +19,6 @@
 
 Before(() => {
   rooms = [];
-  records = [];
   groups = [];
   reads = 0;
 });
@@ -82,7 +74,6 @@
     intervalMs: 0,
   };
   const record = createWorkflowRecord(workflow, undefined, {}, 0);
-  records.push(record);
   groups.push(getGroup(record, 0, 0));
 }
 
@@ -137,50 +128,3 @@
 Then('each host was considered at most {int} times', (limit: number) =>
   assert.ok(reads <= limit * rooms.length, `${reads / rooms.length} times`),
 );
-
-let paths: PathEstimates;
-let estimateCount = 0;
-let now = 0;
-let delayMs = 0;
-
-When(
-  'their paths are needed in {int} passes within {int} ms',
-  (passes: number, ms: number) => {
-    estimateCount = 0;
-    paths = createPathEstimates({
-      observe: () => {},
-      estimate(_queue, declaredMs) {
-        estimateCount += 1;
-        return declaredMs;
-      },
-    });
-    for (let pass = 0; pass < passes; pass += 1) {
-      now = (pass * ms) / passes;
-      for (const record of records) paths.get(record, now);
-    }
-  },
-);
-
-Then(
-  'run times were estimated at most {int} times per workflow',
-  (limit: number) =>
-    assert.ok(estimateCount <= limit * records.length, String(estimateCount)),
-);
-
-When('their tasks are done', () => {
-  for (const task of groups.flat()) task.phase = TaskPhase.Done;
-  for (const record of records) record.version += 1;
-});
-
-Then('nothing remains of their paths', () => {
-  const estimates: PathEstimate[] = records.map(each => paths.get(each, now));
-  for (const {remainingMs} of estimates) assert.equal(remainingMs, 0);
-});
-
-When('a placement pass has taken {int} ms', (ms: number) => {
-  delayMs = getPlacementDelayMs(ms);
-});
-
-Then('the next one begins after {int} ms', (ms: number) =>
-  assert.equal(delayMs, ms),
-);
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -8,7 +8,6 @@
   createRunTimes,
   createWorkflowRecord,
   forEachTask,
-  getPlacementDelayMs,
   isFinal,
   mayStopTask,
 } from '../../decisions/workflows';
@@ -107,6 +106,11 @@
 const CANCEL_INTERVAL_MS = 80;
 /** Delay before retrying a failed store read, in ms. */
 const RETRY_MS = 200;
+/**
+ * Delay in ms during which updates are batched into one placement pass. Short
+ * compared with a run, and allows a few passes per host report.
+ */
+const PLACEMENT_DELAY_MS = 4;
 /** Interval of the checks that depend only on the passage of time, in ms. */
 const REVIEW_INTERVAL_MS = 250;
 /** Interval between deletions of expired workflows, in ms. */
@@ -167,8 +171,6 @@
   let ledger: Ledger | undefined;
   let ready = false;
   let placementScheduled = false;
-  /** Duration of the last placement pass, in ms. */
-  let placementMs = 0;
   let poolCpuMillis: ReadonlyMap<string, number> = new Map();
   /**
    * Monotonic time in ms until which leases granted by earlier leaders may be
@@ -387,11 +389,8 @@
     placementScheduled = true;
     setTimeout(() => {
       placementScheduled = false;
-      if (abort.signal.aborted) return;
-      const startedAt = performance.now();
-      placer.placeAll();
-      placementMs = performance.now() - startedAt;
-    }, getPlacementDelayMs(placementMs));
+      if (!abort.signal.aborted) placer.placeAll();
+    }, PLACEMENT_DELAY_MS);
   }
 
   /**
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -8,10 +8,11 @@
   Urgency,
   WorkflowRecord,
   compareUrgency,
-  createPathEstimates,
   createPlacement,
   createUnplaceableSizes,
+  getCriticalPathMs,
   getDueAt,
+  getFirstUnfinishedOccurrence,
   isFinal,
   getUrgency,
   listReadyGroups,
@@ -66,8 +67,6 @@
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
-  const paths = createPathEstimates(runTimes);
-
   function listCandidates(): Map<string, Candidate[]> {
     const now = unixNow();
     const byPool = new Map<string, Candidate[]>();
@@ -76,10 +75,18 @@
       const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
-      const {occurrence, criticalPathMs, remainingMs} = paths.get(
-        record,
-        performance.now(),
+      const expect = (declaredMs: number) =>
+        runTimes.estimate(workflow.queue, declaredMs);
+      const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
+      const occurrence = getFirstUnfinishedOccurrence(record);
+      const remainingSteps = workflow.steps.map((step, index) =>
+        record.groups
+          .get(`${occurrence}.${index}`)
+          ?.every(task => task.phase === TaskPhase.Done)
+          ? {...step, estimateMs: 0}
+          : step,
       );
+      const remainingMs = getCriticalPathMs(remainingSteps, expect);
       const urgency = getUrgency(
         workflow,
         getDueAt(workflow, occurrence) || record.acceptedAt,
