Play a leader that pauses between the record of an order and the order

Cause: before the permission was checked before the record was written only; a process paused after that sent its order when another leader had already taken over. Change: a feature plays it; it fails if the check after the record is taken out.

--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -26,6 +26,15 @@
     And every machine was serviced exactly once
     And the run history has no violations
 
+  @promise-budget @failure-lapsed-lease
+  Scenario: A leader that pauses between the record of an order and the order itself does not send it
+    Given 3 entry hosts, 6 hosts for workflows and 4 spare machines
+    When the leader pauses for 3000 ms after it has recorded an order for a machine
+    And a wave over all machines is declared with a duration of 40 s and at most 2 machines down
+    Then the wave is completed within 40 s
+    And the paused leader has sent no order
+    And the run history has no violations
+
   @promise-budget
   Scenario: Spare machines join for a burst of work and are returned afterwards
     Given 3 entry hosts, 4 hosts for workflows and 6 spare machines
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -122,6 +122,25 @@
   },
 );
 
+let pausedId = '';
+
+When(
+  'the leader pauses for {int} ms after it has recorded an order for a machine',
+  (ms: number) => {
+    const leader = getWorld().getLeader();
+    assert.ok(leader);
+    leader.pauseAfterRecordMs = ms;
+    pausedId = leader.id;
+  },
+);
+
+Then('the paused leader has sent no order', () => {
+  const {events} = getWorld().fleet;
+  const orders = events.filter(({kind}) => kind === FleetEventKind.Order);
+  assert.ok(orders.length > 0);
+  assert.ok(orders.every(({holder = ''}) => !holder.startsWith(pausedId)));
+});
+
 Then('spare machines have joined the pool', () => {
   const moves = getWorld().fleet.events.filter(
     ({kind, task}) =>
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -1,4 +1,9 @@
-import {SubmitOutcome, WorkflowDraft} from '../../src/actors/workflows';
+import {
+  MACHINE_ORDERS_KEY,
+  SubmitOutcome,
+  WorkflowDraft,
+} from '../../src/actors/workflows';
+import {Store} from '../../src/ports';
 import {RunViolation, checkRuns} from '../../src/history/workflows';
 import {
   FLEET_REGISTRY_PREFIX,
@@ -14,6 +19,7 @@
   createMemoryStore,
   createStoreFaults,
 } from '../../src/stand_ins/platform';
+import {delay} from '../../src/state';
 import {createLog, LogLevel} from '../../src/telemetry';
 import {MaintenanceWave, Queue, Step, Workflow} from '../../src/types/workflow';
 import {
@@ -31,6 +37,11 @@
   cutFromHosts: boolean;
   /** False once the entry host was killed. */
   alive: boolean;
+  /**
+   * Time in ms by which it learns late that an order for a machine is recorded;
+   * meanwhile its other calls to the store fail. 0 for no pause.
+   */
+  pauseAfterRecordMs: number;
   /** Returns the number of its calls to the store. */
   countStoreCalls(): number;
 }
@@ -217,12 +228,16 @@
       faults,
       cutFromHosts: false,
       alive: true,
+      pauseAfterRecordMs: 0,
       countStoreCalls: () => storeCalls,
       entry: createWorkflowEntryHost({
         memberId: id,
-        store: createMemoryStore(keyValue, faults, random, () => {
-          storeCalls += 1;
-        }),
+        store: pauseAfterRecords(
+          createMemoryStore(keyValue, faults, random, () => {
+            storeCalls += 1;
+          }),
+          () => member,
+        ),
         hosts: fleet.createTaskHosts(() => member.cutFromHosts),
         advice: fleet.createAdvice(),
         machines: fleet.createMachines(() => member.cutFromHosts),
@@ -341,6 +356,28 @@
   };
 }
 
+/**
+ * Wraps the store of an entry host that pauses between the record of a machine
+ * order and the order itself.
+ */
+function pauseAfterRecords(store: Store, getMember: () => TestMember): Store {
+  return {
+    ...store,
+    async transact(transaction) {
+      const result = await store.transact(transaction);
+      const isRecord = transaction.puts.some(
+        ({key}) => key === MACHINE_ORDERS_KEY,
+      );
+      const {pauseAfterRecordMs, faults} = getMember();
+      if (!isRecord || pauseAfterRecordMs === 0) return result;
+      faults.down = true;
+      await delay(pauseAfterRecordMs);
+      faults.down = false;
+      return result;
+    },
+  };
+}
+
 /** Returns the number of started runs of tasks whose name has a prefix. */
 export function countStarts({fleet}: WorkflowWorld, idPrefix = ''): number {
   return fleet.events.filter(
