--- a/features/workflows/entry_hosts.feature
+++ b/features/workflows/entry_hosts.feature
@@ -15,3 +15,14 @@
     When its state has been read at every entry host
     And the store is unreachable from every entry host
     Then every entry host says that it is "completed"
+
+  @promise-long-work
+  Scenario: Stored entries that cannot be read cost only themselves, also at the next leader
+    Given 3 entry hosts and 4 hosts for workflows
+    When the store holds entries under the prefix of workflows that are none
+    And a workflow of 4 tasks of 500 ms is submitted
+    Then it is "completed" within 3 s
+    When the leader is killed
+    And a workflow of 4 tasks of 500 ms is submitted
+    Then all are "completed" within 6 s
+    And the run history has no violations
--- a/features/workflows/entry_hosts.steps.ts
+++ b/features/workflows/entry_hosts.steps.ts
@@ -35,3 +35,20 @@
 Then('every entry host says that it is {string}', async (expected: string) => {
   for (const state of await readStates()) assert.equal(state, expected);
 });
+
+When(
+  'the store holds entries under the prefix of workflows that are none',
+  () => {
+    const {keyValue} = getWorld();
+    const values = [
+      '{"id":',
+      'null',
+      '7',
+      '{"id":"other","steps":[]}',
+      '{"steps":null}',
+    ];
+    values.forEach((value, index) => {
+      keyValue.swap({key: `work/${index}`, expectedVersion: 0, value});
+    });
+  },
+);
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -11,7 +11,7 @@
   isFinal,
   mayStopTask,
 } from '../../decisions/workflows';
-import {Store} from '../../ports';
+import {Store, StoreEntry} from '../../ports';
 import {HostRefusal, PlacementAdvisor, TaskHosts} from '../../ports/hosts';
 import {Mirror, createMirror} from '../../state';
 import {Log, PoolGauge} from '../../telemetry';
@@ -27,6 +27,7 @@
   WORK_PREFIX,
   getProgressKey,
   getStateKey,
+  getWorkKey,
 } from './keys';
 import {Term} from './leadership';
 import {Ledger, createLedger} from './ledger';
@@ -168,6 +169,8 @@
     runTimes,
     publishLoad,
   );
+  /** Keys of stored workflows that cannot be run. */
+  const invalidKeys = new Set<string>();
   let ledger: Ledger | undefined;
   let ready = false;
   let placementScheduled = false;
@@ -198,10 +201,15 @@
   }
 
   function startWatching(stored: StoredWorkflows): void {
-    const mirrorOptions = {waitMs: WATCH_WAIT_MS, retryMs: RETRY_MS};
+    const mirrorOptions = {
+      waitMs: WATCH_WAIT_MS,
+      retryMs: RETRY_MS,
+      onInvalid: reportInvalid,
+    };
     const work = createMirror<Workflow>(store, WORK_PREFIX, {
       ...mirrorOptions,
       minIntervalMs: WATCH_INTERVAL_MS,
+      decode: readWorkflow,
     });
     const cancellations = createMirror<unknown>(store, CANCEL_PREFIX, {
       ...mirrorOptions,
@@ -217,7 +225,9 @@
       const isLoaded = work.synced.get() && cancellations.synced.get();
       if (!ready && !isLoaded) return;
       const entries = work.entries.get();
-      for (const {value} of entries.values()) admit(value, stored);
+      for (const {key, value} of entries.values()) {
+        tryAdmit(key, value, stored);
+      }
       retention.updateStoredKeys(entries);
       if (!ready) takeOver(entries.size);
       cancelRequested(cancellations.entries.get());
@@ -239,6 +249,28 @@
     disposers.push(() => clearInterval(clean));
   }
 
+  /** Logs a stored workflow that cannot be run, once. */
+  function reportInvalid(key: string, cause: string): void {
+    if (invalidKeys.has(key)) return;
+    invalidKeys.add(key);
+    log.error('invalid entry', {key, cause, decision: 'ignore'});
+  }
+
+  /** One workflow that cannot be read must not stop all others. */
+  function tryAdmit(
+    key: string,
+    workflow: Workflow,
+    stored: StoredWorkflows,
+  ): void {
+    if (invalidKeys.has(key)) return;
+    try {
+      admit(workflow, stored);
+    } catch (error) {
+      records.delete(workflow.id);
+      reportInvalid(key, (error as Error).message);
+    }
+  }
+
   function admit(workflow: Workflow, stored: StoredWorkflows): void {
     const {id} = workflow;
     if (records.has(id)) return;
@@ -439,3 +471,12 @@
     },
   };
 }
+
+/** Parses a stored workflow; throws if it is none. */
+function readWorkflow({key, value}: StoreEntry): Workflow {
+  const workflow = JSON.parse(value) as Workflow;
+  if (key !== getWorkKey(workflow.id) || !Array.isArray(workflow.steps)) {
+    throw new TypeError('not a workflow');
+  }
+  return workflow;
+}
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -35,6 +35,11 @@
   readonly decode?: (entry: StoreEntry) => T | undefined;
   /** Delay in ms after a failed call; by default an exponential backoff. */
   readonly retryMs?: number;
+  /**
+   * Called with each entry that could not be decoded and its cause; the entry
+   * is omitted.
+   */
+  readonly onInvalid?: (key: string, cause: string) => void;
 }
 
 const WATCH_WAIT_MS = 20_000;
@@ -57,6 +62,7 @@
     minIntervalMs = 0,
     decode = entry => JSON.parse(entry.value) as T,
     retryMs,
+    onInvalid = () => {},
   } = options;
   const entries = createObservableValue<ReadonlyMap<string, MirrorEntry<T>>>(
     new Map(),
@@ -129,11 +135,21 @@
 
   function put(next: Map<string, MirrorEntry<T>>, entry: StoreEntry): void {
     const {key, version} = entry;
-    const value = decode(entry);
+    const value = tryDecode(entry);
     if (value === undefined) next.delete(key);
     else next.set(key, {key, version, value});
   }
 
+  /** One entry that cannot be decoded must not end the watch of all others. */
+  function tryDecode(entry: StoreEntry): T | undefined {
+    try {
+      return decode(entry);
+    } catch (error) {
+      onInvalid(entry.key, (error as Error).message);
+      return undefined;
+    }
+  }
+
   void follow();
 
   return {
