--- a/features/workflows/logs_and_metrics.feature
+++ b/features/workflows/logs_and_metrics.feature
@@ -7,12 +7,12 @@
     And 1 line is written to it
     Then the number of dropped lines is logged
 
-  Scenario: Above the log budget, warnings and refusals are dropped last
+  Scenario: Above the log budget, warnings, refusals and the load of pools are dropped last
     Given a log whose reader reads everything
     When 20000 lines are written to it
-    And a warning and a refusal are written to it
+    And a warning, a refusal and the load of a pool are written to it
     Then at most 70000 characters were written before the warning
-    And the warning and the refusal were written
+    And the warning, the refusal and the load of the pool were written
 
   Scenario: Metrics count decisions and measure calls
     Given an entry host with metrics
--- a/features/workflows/logs_and_metrics.steps.ts
+++ b/features/workflows/logs_and_metrics.steps.ts
@@ -12,6 +12,7 @@
 const WARNING = '{"context":{"logLevel":40},"message":"store lost"}';
 const REFUSAL =
   '{"context":{"outcome":"refused","logLevel":30},"message":"submission"}';
+const POOL_LOAD = '{"context":{"pool":"a","logLevel":30},"message":"pool"}';
 const REQUEST_ID = '4534fa691ca74598';
 
 let written: string[] = [];
@@ -62,9 +63,10 @@
   assert.ok(Number(/"count":(\d+)/.exec(reports[0])?.[1]) > 0);
 });
 
-When('a warning and a refusal are written to it', () => {
+When('a warning, a refusal and the load of a pool are written to it', () => {
   write(WARNING);
   write(REFUSAL);
+  write(POOL_LOAD);
 });
 
 Then(
@@ -76,9 +78,10 @@
   },
 );
 
-Then('the warning and the refusal were written', () => {
+Then('the warning, the refusal and the load of the pool were written', () => {
   assert.ok(written.includes(`${WARNING}\n`));
   assert.ok(written.includes(`${REFUSAL}\n`));
+  assert.ok(written.includes(`${POOL_LOAD}\n`));
 });
 
 Given('an entry host with metrics', () => {
