Let no late write remove an order from the record of machine orders

Cause: writes of the record had only the term as a condition and could overlap. The regular removal of old orders made this likelier. Change: one write at a time, each on the condition that the record has the version of the last one; after an unknown outcome the version is read again. Result: 'A write of the record that is carried out late removes no later order', which fails without the change.

--- a/features/workflows/time_of_day.feature
+++ b/features/workflows/time_of_day.feature
@@ -97,6 +97,14 @@
     And another holder takes over with a gap of 4000 ms
     Then the other holder may order the machine
 
+  @promise-budget @failure-lost-answer
+  Scenario: A write of the record that is carried out late removes no later order
+    Given an earlier holder has recorded an order for a machine
+    When the holder records an order, and the store carries the write out 2 s later
+    And the holder records an order for another machine after 500 ms
+    And 3 s pass
+    Then every order that was confirmed is still recorded
+
   @promise-budget @failure-clock @failure-crash
   Scenario: The clocks jump between two leaders, and no machine gets orders from both within the gap
     Given 3 entry hosts, 6 hosts for workflows and 4 spare machines
--- a/features/workflows/time_of_day.steps.ts
+++ b/features/workflows/time_of_day.steps.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import {LEADER_KEY} from '../../src/actors/workflows';
+import {Result} from 'true-myth';
+import {LEADER_KEY, MACHINE_ORDERS_KEY} from '../../src/actors/workflows';
 import {OrderLog, createOrderLog} from '../../src/actors/workflows/order_log';
 import {
   createKeyValue,
   createMemoryStore,
   createStoreFaults,
 } from '../../src/stand_ins/platform';
+import {Store, StoreFailure} from '../../src/ports';
 import {ClockStep, UnixClock, createUnixClock} from '../../src/state';
 import {advance, stepWallClock} from '../support/paused_clock';
 
@@ -58,13 +60,29 @@
 let orderLog: OrderLog;
 let reviewer: ReturnType<typeof setInterval> | undefined;
 
+/** Time in ms after which the store carries out the next write. */
+let writeDelayMs = 0;
+
+/** Wraps a store whose next write is carried out late and is not answered. */
+function delayWrites(store: Store): Store {
+  return {
+    ...store,
+    async transact(transaction) {
+      if (writeDelayMs === 0) return store.transact(transaction);
+      setTimeout(() => void store.transact(transaction), writeDelayMs);
+      writeDelayMs = 0;
+      return Result.err(StoreFailure.AnswerLost);
+    },
+  };
+}
+
 /** Makes a new holder lead and opens its order log. */
 async function takeOver(gapMs: number): Promise<void> {
   const version = keyValue.get(LEADER_KEY)?.version ?? 0;
   const value = JSON.stringify({memberId: 'entry-1', token: String(version)});
   keyValue.swap({key: LEADER_KEY, expectedVersion: version, value});
   const fence = keyValue.get(LEADER_KEY)?.version ?? 0;
-  const store = createMemoryStore(keyValue, createStoreFaults());
+  const store = delayWrites(createMemoryStore(keyValue, createStoreFaults()));
   clearInterval(reviewer);
   orderLog = createOrderLog(store, fence, gapMs, () => Date.now());
   reviewer = setInterval(() => orderLog.review(), READ_INTERVAL_MS);
@@ -89,3 +107,32 @@
 Then('the other holder may order the machine', () => {
   assert.equal(orderLog.mayOrder(MACHINE), true);
 });
+
+let confirmed: string[] = [];
+
+async function record(machine: string): Promise<void> {
+  if (await orderLog.record([machine])) confirmed.push(machine);
+}
+
+When(
+  'the holder records an order, and the store carries the write out {int} s later',
+  async (seconds: number) => {
+    confirmed = [];
+    writeDelayMs = seconds * 1_000;
+    await record('m-3');
+  },
+);
+
+When(
+  'the holder records an order for another machine after {int} ms',
+  async (ms: number) => {
+    await advance(ms);
+    await record('m-4');
+    assert.ok(confirmed.length > 0);
+  },
+);
+
+Then('every order that was confirmed is still recorded', () => {
+  const stored = JSON.parse(keyValue.get(MACHINE_ORDERS_KEY)?.value ?? '{}');
+  for (const machine of confirmed) assert.ok(machine in stored, machine);
+});
--- a/src/actors/workflows/order_log.ts
+++ b/src/actors/workflows/order_log.ts
@@ -55,6 +55,10 @@
   const recorded = new Map<string, number>();
   /** Monotonic time in ms of the last write. */
   let writtenAt = startedAt;
+  /** Version of the record; undefined after a write with an unknown outcome. */
+  let version: number | undefined;
+  /** Resolves once the last write has ended. */
+  let lastWrite: Promise<unknown> = Promise.resolve();
 
   async function read(): Promise<void> {
     while (!abort.signal.aborted && !earlier) {
@@ -63,6 +67,7 @@
         await delay(RETRY_MS, abort.signal);
         continue;
       }
+      version = found.value?.version ?? 0;
       const stored = JSON.parse(found.value?.value ?? '{}') as object;
       earlier = new Set(Object.keys(stored));
       for (const machine of earlier) recorded.set(machine, startedAt);
@@ -78,7 +83,20 @@
     return recorded.size < sizeBefore;
   }
 
-  async function write(): Promise<boolean> {
+  /**
+   * Writes the record after the writes before it. Each write has the version of
+   * the record as a condition, so that one that is carried out late cannot
+   * remove an order that was recorded meanwhile.
+   */
+  function write(): Promise<boolean> {
+    const written = lastWrite.then(writeOnce);
+    lastWrite = written;
+    return written;
+  }
+
+  async function writeOnce(): Promise<boolean> {
+    version ??= await readVersion();
+    if (version === undefined || abort.signal.aborted) return false;
     const now = performance.now();
     writtenAt = now;
     const orders = [...recorded].map(([machine, at]) => [
@@ -86,7 +104,10 @@
       Math.round(unixNow() + at - now),
     ]);
     const result = await store.transact({
-      conditions: new Map([[LEADER_KEY, fence]]),
+      conditions: new Map([
+        [LEADER_KEY, fence],
+        [MACHINE_ORDERS_KEY, version],
+      ]),
       puts: [
         {
           key: MACHINE_ORDERS_KEY,
@@ -95,7 +116,14 @@
       ],
       removals: [],
     });
-    return result.isOk && result.value.applied;
+    const applied = result.isOk && result.value.applied;
+    version = applied ? result.value.revision : undefined;
+    return applied;
+  }
+
+  async function readVersion(): Promise<number | undefined> {
+    const found = await store.get(MACHINE_ORDERS_KEY);
+    return found.isOk ? (found.value?.version ?? 0) : undefined;
   }
 
   void read();
