Move the reading of stored workflows out of the coordinator

The feed follows workflows and cancellations and keeps entries that can't be read from everything else.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -11,24 +11,16 @@
   isFinal,
   mayStopTask,
 } from '../../decisions/workflows';
-import {Store, StoreEntry} from '../../ports';
+import {Store} from '../../ports';
 import {HostRefusal, PlacementAdvisor, TaskHosts} from '../../ports/hosts';
-import {Mirror, createMirror} from '../../state';
+import {Mirror} from '../../state';
 import {Log, PoolGauge} from '../../telemetry';
 import {TaskEnd, TaskHost, Workflow, WorkflowState} from '../../types/workflow';
 import {createFillerPacing} from './filler_pacing';
 import {MIN_CLOCK_RATE} from './host_clock';
 import {HostSession, createHostSession} from './host_session';
 import {createHostSessions} from './host_sessions';
-import {
-  CANCEL_PREFIX,
-  LEADER_KEY,
-  LOAD_KEY,
-  WORK_PREFIX,
-  getProgressKey,
-  getStateKey,
-  getWorkKey,
-} from './keys';
+import {LEADER_KEY, LOAD_KEY, getProgressKey, getStateKey} from './keys';
 import {Term} from './leadership';
 import {Ledger, createLedger} from './ledger';
 import {createLoadReporter} from './load_reporter';
@@ -39,6 +31,7 @@
 import {StoredWorkflows, readStoredWorkflows} from './stored_workflows';
 import {createTaskPlacer} from './task_placer';
 import {createTicketCache} from './ticket_cache';
+import {WorkflowUpdate, createWorkflowFeed} from './workflow_feed';
 
 /** Runs the workflows of all pools during one leadership term. */
 export interface Coordinator {
@@ -96,17 +89,6 @@
   readonly onFenced: (cause: string) => void;
 }
 
-/** Maximum wait of one watch call for new workflows, in ms. */
-const WATCH_WAIT_MS = 1_500;
-/**
- * Minimum time between two reads of new workflows, in ms, so that one call
- * returns several workflows.
- */
-const WATCH_INTERVAL_MS = 10;
-/** Minimum time between two reads of cancellations, in ms. */
-const CANCEL_INTERVAL_MS = 80;
-/** Delay before retrying a failed store read, in ms. */
-const RETRY_MS = 200;
 /**
  * Delay in ms during which updates are batched into one placement pass. Short
  * compared with a run, and allows a few passes per host report.
@@ -169,8 +151,6 @@
     runTimes,
     publishLoad,
   );
-  /** Keys of stored workflows that cannot be run. */
-  const invalidKeys = new Set<string>();
   let ledger: Ledger | undefined;
   let ready = false;
   let placementScheduled = false;
@@ -201,42 +181,15 @@
   }
 
   function startWatching(stored: StoredWorkflows): void {
-    const mirrorOptions = {
-      waitMs: WATCH_WAIT_MS,
-      retryMs: RETRY_MS,
-      onInvalid: reportInvalid,
-    };
-    const work = createMirror<Workflow>(store, WORK_PREFIX, {
-      ...mirrorOptions,
-      minIntervalMs: WATCH_INTERVAL_MS,
-      decode: readWorkflow,
-    });
-    const cancellations = createMirror<unknown>(store, CANCEL_PREFIX, {
-      ...mirrorOptions,
-      minIntervalMs: CANCEL_INTERVAL_MS,
+    const feed = createWorkflowFeed({
+      store,
+      admit: workflow => admit(workflow, stored),
+      drop: ({id}) => void records.delete(id),
+      onUpdate: update,
+      log,
     });
-    disposers.push(
-      () => work.dispose(),
-      () => cancellations.dispose(),
-    );
+    disposers.push(() => feed.dispose());
     disposers.push(registry.entries.onChange(readRegistry));
-    function update(): void {
-      // A cancelled workflow must not start, so both lists are needed first.
-      const isLoaded = work.synced.get() && cancellations.synced.get();
-      if (!ready && !isLoaded) return;
-      const entries = work.entries.get();
-      for (const {key, value} of entries.values()) {
-        tryAdmit(key, value, stored);
-      }
-      retention.updateStoredKeys(entries);
-      if (!ready) takeOver(entries.size);
-      cancelRequested(cancellations.entries.get());
-      schedulePlacement();
-    }
-    for (const mirror of [work, cancellations]) {
-      disposers.push(mirror.entries.onChange(update));
-      disposers.push(mirror.synced.onChange(update));
-    }
     const review = setInterval(() => {
       sessions.evacuate();
       schedulePlacement();
@@ -249,26 +202,14 @@
     disposers.push(() => clearInterval(clean));
   }
 
-  /** Logs a stored workflow that cannot be run, once. */
-  function reportInvalid(key: string, cause: string): void {
-    if (invalidKeys.has(key)) return;
-    invalidKeys.add(key);
-    log.error('invalid entry', {key, cause, decision: 'ignore'});
-  }
-
-  /** One workflow that cannot be read must not stop all others. */
-  function tryAdmit(
-    key: string,
-    workflow: Workflow,
-    stored: StoredWorkflows,
-  ): void {
-    if (invalidKeys.has(key)) return;
-    try {
-      admit(workflow, stored);
-    } catch (error) {
-      records.delete(workflow.id);
-      reportInvalid(key, (error as Error).message);
+  function update({workKeys, cancelledIds}: WorkflowUpdate): void {
+    retention.updateStoredKeys(workKeys);
+    if (!ready) takeOver(workKeys.size);
+    for (const id of cancelledIds) {
+      const record = records.get(id);
+      if (record) cancel(record);
     }
+    schedulePlacement();
   }
 
   function admit(workflow: Workflow, stored: StoredWorkflows): void {
@@ -347,13 +288,6 @@
     schedulePlacement();
   }
 
-  function cancelRequested(entries: ReadonlyMap<string, unknown>): void {
-    for (const key of entries.keys()) {
-      const record = records.get(key.slice(CANCEL_PREFIX.length));
-      if (record) cancel(record);
-    }
-  }
-
   function cancel(record: WorkflowRecord): void {
     if (isFinal(record.state)) return;
     finish(record, WorkflowState.Cancelled, 'cancelled by the caller');
@@ -471,12 +405,3 @@
     },
   };
 }
-
-/** Parses a stored workflow; throws if it is none. */
-function readWorkflow({key, value}: StoreEntry): Workflow {
-  const workflow = JSON.parse(value) as Workflow;
-  if (key !== getWorkKey(workflow.id) || !Array.isArray(workflow.steps)) {
-    throw new TypeError('not a workflow');
-  }
-  return workflow;
-}
--- a/src/actors/workflows/keys.ts
+++ b/src/actors/workflows/keys.ts
@@ -1,14 +1,14 @@
 /** Prefix of accepted workflows; each is written once. */
 export const WORK_PREFIX = 'work/';
+/** Key of the elected leader, bound to its lease. */
+export const LEADER_KEY = 'live/leader';
+/** Key of the load report that the leader publishes for its pools. */
+export const LOAD_KEY = 'live/load';
 /**
- * Prefix of the keys that every entry host watches: leader and load. Nothing
- * under it grows with the number of workflows.
+ * Common prefix of the leader and the load, which every entry host watches with
+ * one call. Nothing else is under it, so it does not grow with the workflows.
  */
 export const WATCHED_PREFIX = 'live/l';
-/** Key of the elected leader, bound to its lease. */
-export const LEADER_KEY = `${WATCHED_PREFIX}eader`;
-/** Key of the load report that the leader publishes for its pools. */
-export const LOAD_KEY = `${WATCHED_PREFIX}oad`;
 /** Prefix of workflow states. */
 export const STATE_PREFIX = 'live/state/';
 /** Prefix of workflow progress, which only a new leader reads. */
