Let one bounded collection serve remembered ids and final states

Found in the last read of the change: the reader of states evicted its oldest entry by the same lines as the set of recent keys.

--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -10,7 +10,7 @@
 import {Log} from '../../telemetry';
 import {Queue, Step, Workflow, WorkflowState} from '../../types/workflow';
 import {getCancelKey, getStateKey, getWorkKey} from './keys';
-import {createRecentKeys} from './recent_keys';
+import {createRecentEntries} from './recent_entries';
 import {createStateReader} from './state_reader';
 
 /** Outcome of a submission. */
@@ -112,12 +112,12 @@
   const storeTimeout = createAdaptiveTimeout();
   const states = createStateReader(store);
   /** Workflows that were cancelled through this entry host. */
-  const cancelled = createRecentKeys(MAX_RECENT);
+  const cancelled = createRecentEntries<true>(MAX_RECENT);
   /**
    * Workflows with an unknown outcome at this entry host. They may be stored,
    * even seconds later, so it must not say that they will not run.
    */
-  const unknown = createRecentKeys(MAX_RECENT);
+  const unknown = createRecentEntries<true>(MAX_RECENT);
 
   async function submit(
     queue: Queue,
@@ -211,7 +211,7 @@
       removals: [],
     });
     if (result.isOk) {
-      cancelled.add(id);
+      cancelled.set(id, true);
       return CancelOutcome.Cancelled;
     }
     return result.error === StoreFailure.AnswerLost
@@ -222,7 +222,7 @@
   return {
     async submit(queue, id, draft) {
       let answer = await submit(queue, id, draft);
-      if (answer.outcome === SubmitOutcome.Unknown) unknown.add(id);
+      if (answer.outcome === SubmitOutcome.Unknown) unknown.set(id, true);
       if (answer.outcome === SubmitOutcome.Unavailable && unknown.has(id)) {
         answer = {...answer, outcome: SubmitOutcome.Unknown};
       }
--- a/src/actors/workflows/state_reader.ts
+++ b/src/actors/workflows/state_reader.ts
@@ -2,6 +2,7 @@
 import {StoredState, isFinal} from '../../decisions/workflows';
 import {Store, StoreFailure} from '../../ports';
 import {getStateKey} from './keys';
+import {createRecentEntries} from './recent_entries';
 
 /**
  * Reads workflow states from the store, so that an entry host needs no copy of
@@ -27,7 +28,7 @@
  * @param store the key-value store
  */
 export function createStateReader(store: Store): StateReader {
-  const finalStates = new Map<string, StoredState>();
+  const finalStates = createRecentEntries<StoredState>(MAX_FINAL_STATES);
   const reading = new Map<string, ReturnType<StateReader['read']>>();
 
   async function fetch(
@@ -41,18 +42,11 @@
         : (JSON.parse(entry.value) as StoredState),
     );
     if (state.isOk && state.value && isFinal(state.value.state)) {
-      keep(id, state.value);
+      finalStates.set(id, state.value);
     }
     return state;
   }
 
-  function keep(id: string, state: StoredState): void {
-    finalStates.set(id, state);
-    if (finalStates.size <= MAX_FINAL_STATES) return;
-    const [oldest] = finalStates.keys();
-    finalStates.delete(oldest);
-  }
-
   return {
     async read(id) {
       const known = finalStates.get(id);
