--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -202,6 +202,11 @@
       });
     }
   });
+  configuration.connected.onChange(connected => {
+    const version = latest?.version;
+    if (connected) log.info('configuration feed regained', {version});
+    else log.warn('configuration feed lost', {version});
+  });
   watched.entries.onChange(entries => {
     leadership.observe(entries.get(LEADER_KEY)?.version ?? 0);
   });
