--- a/scripts/proof.mjs
+++ b/scripts/proof.mjs
@@ -32,6 +32,7 @@
   '@failure-lapsed-lease': 'Lease lapsed while the holder was paused',
   '@failure-two-operators': 'Two operators race',
   '@failure-silent-connection': 'Silent connection',
+  '@failure-slow-link': 'Slow link',
   '@failure-crash': 'Crash or replacement of an entry host',
   '@failure-partition': 'Partition between members',
   '@failure-clock': 'Time of day jumps',
