--- a/features/platform/configuration_feed.feature
+++ b/features/platform/configuration_feed.feature
@@ -21,3 +21,32 @@
     Given a store whose answers stop halfway
     When a client calls "list" for the configuration
     Then the call fails with "answer-lost" within 2500 ms
+
+  # Guards against a configuration that is late by one timeout for each open connection that is silent.
+  @promise-configuration @failure-silent-connection
+  Scenario: All open connections become silent, and only one watch is lost
+    Given a store with 6 open connections of one client
+    When the open connections become silent
+    Then one watch of the configuration is lost, and the next one is answered
+
+  # Guards against connections that are closed although they still deliver answers.
+  @promise-configuration @failure-silent-connection
+  Scenario: One connection becomes silent, and the others stay open
+    Given a store with 6 open connections of one client
+    When one of the open connections becomes silent
+    And 6 calls are made at once, of which one gets no answer
+    Then the client has opened 1 more connection
+
+  # Guards against connections that are lost to the client after calls without an answer.
+  @failure-store-down
+  Scenario: All connections are used again after a store did not answer
+    Given a store with 6 open connections of one client
+    When the store answers nothing while 40 calls are made
+    Then the next 40 calls are answered
+
+  # Guards against a process that ends because connections are refused while calls wait for one.
+  @failure-store-down
+  Scenario: Calls wait for connections to a store that refuses them
+    Given a store with 6 open connections of one client
+    When the store refuses all connections while 40 calls are made
+    Then all calls fail with "unreachable"
--- a/features/platform/configuration_feed.steps.ts
+++ b/features/platform/configuration_feed.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {Server, ServerResponse, createServer} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
 import {createPlatformStore} from '../../platform/store';
@@ -18,6 +18,12 @@
 let store: Store | undefined;
 let answer: Result<StoreListing | StoreChanges, StoreFailure>;
 let durationMs = 0;
+/** Connections that the store has accepted, in order. */
+let sockets: Socket[] = [];
+/** Connections on which the store answers nothing more. */
+let silentSockets = new Set<Socket>();
+/** Whether the store answers nothing at all. */
+let isSilent = false;
 
 After({tags: '@real-clock'}, () => {
   store?.dispose();
@@ -25,6 +31,9 @@
   server?.close();
   server?.closeAllConnections();
   server = undefined;
+  sockets = [];
+  silentSockets = new Set();
+  isSilent = false;
 });
 
 /** Starts a store that passes the body of each answer to a function. */
@@ -38,11 +47,13 @@
     lease: 0,
   };
   server = createServer((request, response) => {
+    if (isSilent || silentSockets.has(request.socket)) return;
     const rows = request.url?.startsWith('/-/kv-watch')
       ? {events: [item]}
       : {items: [item], hasMore: false};
     send(response, JSON.stringify({...rows, storeRevision: 7}));
   });
+  server.on('connection', socket => sockets.push(socket));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   store = createPlatformStore(
@@ -103,3 +114,86 @@
     assert.ok(durationMs < limitMs, `took ${durationMs} ms`);
   },
 );
+
+function readConcurrently(count: number) {
+  assert.ok(store);
+  const {get} = store;
+  return Promise.all(Array.from({length: count}, () => get(KEY)));
+}
+
+Given(
+  'a store with {int} open connections of one client',
+  async (connections: number) => {
+    // Answers late enough that calls made at once need a connection each.
+    await startStore((response, body) => {
+      setTimeout(() => response.end(body), 20);
+    });
+    await readConcurrently(connections);
+    assert.equal(sockets.length, connections);
+  },
+);
+
+When('the open connections become silent', () => {
+  silentSockets = new Set(sockets);
+});
+
+When('one of the open connections becomes silent', () => {
+  silentSockets = new Set([sockets[0]]);
+});
+
+When(
+  '{int} calls are made at once, of which one gets no answer',
+  async (count: number) => {
+    const answers = await readConcurrently(count);
+    assert.equal(answers.filter(({isErr}) => isErr).length, 1);
+    await readConcurrently(count);
+  },
+);
+
+Then('the client has opened {int} more connection', (count: number) => {
+  assert.equal(sockets.length, 6 + count);
+});
+
+Then(
+  'one watch of the configuration is lost, and the next one is answered',
+  async () => {
+    assert.ok(store);
+    const lost = await store.watch(KEY, 6, WATCH_WAIT_MS);
+    assert.equal(lost.isErr && lost.error, StoreFailure.AnswerLost);
+    const next = await store.watch(KEY, 6, WATCH_WAIT_MS);
+    assert.ok(next.isOk, 'the next watch is lost as well');
+  },
+);
+
+When(
+  'the store answers nothing while {int} calls are made',
+  async (count: number) => {
+    isSilent = true;
+    await readConcurrently(count);
+    isSilent = false;
+  },
+);
+
+Then('the next {int} calls are answered', async (count: number) => {
+  const answers = await readConcurrently(count);
+  assert.ok(answers.every(({isOk}) => isOk));
+});
+
+let refused: Awaited<ReturnType<typeof readConcurrently>> = [];
+
+When(
+  'the store refuses all connections while {int} calls are made',
+  async (count: number) => {
+    server?.close();
+    server?.closeAllConnections();
+    // The client notices the closed connections.
+    await new Promise(resolve => setTimeout(resolve, 50));
+    refused = await readConcurrently(count);
+  },
+);
+
+Then('all calls fail with {string}', (failure: string) => {
+  for (const answer of refused) {
+    assert.equal(answer.isErr && answer.error, failure);
+  }
+});
