Give up tasks under which host after host crashes

What callers saw: quick answers late and failed on a whole pool while one task in ten of a queue crashed each host that started it.

Change: the crash of a host counts against the tasks that may have caused it: those whose start it has acknowledged but not yet listed in a report, as a host that lists a run has survived its start; if there are none, all that end by themselves. A suspect is started alone, so that the next crash has one possible cause. It is given up after two crashes if it was the only one being started, after four otherwise. The count is stored with the progress, so a change of leader keeps it. Hosts that drain or were ended by an order do not count. Members of a gang are not started apart, since they work only together.

--- a/features/workflows/backlog.steps.ts
+++ b/features/workflows/backlog.steps.ts
@@ -51,6 +51,7 @@
       accelerators: 0,
     },
     groups: new Map(),
+    starting: new Set(),
     serving: 0,
     filling: 0,
     degraded: false,
--- /dev/null
+++ b/features/workflows/crashing_tasks.feature
@@ -0,0 +1,42 @@
+Feature: A task that crashes hosts is given up
+  A task may crash each host that starts it. It is given up after a few crashes,
+  and tasks that shared hosts with it are not.
+
+  # Guards against a task that is started again on host after host and crashes each of them.
+  @promise-long-work @failure-impossible-job
+  Scenario: A task that crashes each host that starts it
+    Given 3 entry hosts and 4 hosts for workflows
+    When a workflow of 1 task that crashes its hosts is submitted
+    Then it is "failed" within 20 s
+    And it has crashed at most 3 hosts
+    And the run history has no violations
+
+  # Guards against a count of crashes that a change of leader loses.
+  @promise-long-work @failure-impossible-job @failure-crash
+  Scenario: The leader crashes between two crashes of hosts
+    Given 3 entry hosts and 4 hosts for workflows
+    When a workflow of 1 task that crashes its hosts is submitted
+    And 2 s pass
+    And the leader is killed
+    And 4 s pass
+    And the leader is killed
+    Then it is "failed" within 20 s
+    And it has crashed at most 5 hosts
+
+  # Guards against workflows that are given up because of the crashes that others cause.
+  @promise-long-work @failure-impossible-job
+  Scenario: Workflows that share hosts with tasks that crash them
+    Given 3 entry hosts and 6 hosts for workflows
+    When 40 workflows of 4 tasks of 600 ms are submitted, every tenth of which crashes its hosts, one every 200 ms
+    And 40 s pass
+    Then the workflows that crash their hosts are "failed", and all others are "completed"
+    And no task has crashed more than 5 hosts
+    And the run history has no violations
+
+  # Guards against lasting tasks that are given up because their hosts crash by themselves.
+  @promise-long-work @failure-crash
+  Scenario: Hosts crash again and again under tasks that last
+    Given 3 entry hosts and 3 hosts for workflows
+    When a workflow of 3 tasks that last for good is submitted
+    And each host crashes 5 times, once every 5 s
+    Then it is "running" within 1 s
--- /dev/null
+++ b/features/workflows/crashing_tasks.steps.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {WorkflowDraft} from '../../src/actors/workflows';
+import {FleetEventKind} from '../../src/stand_ins/fleet';
+import {advance} from '../support/paused_clock';
+import {getSubmitted, getWorld} from './running.steps';
+import {createSpec, createStep} from './workflow_world';
+
+/** Time in ms from the crash of a host to the start of the next one. */
+const RESTART_MS = 2_000;
+
+/** Ids of the workflows whose tasks crash their hosts. */
+let crashingIds: ReadonlySet<string> = new Set();
+
+async function submit(draft: Partial<WorkflowDraft>): Promise<string> {
+  const member = getWorld().members.find(({alive}) => alive);
+  assert.ok(member);
+  const submitted = await getWorld().submit(member, draft);
+  getSubmitted().push(submitted);
+  return submitted.id;
+}
+
+/** Returns the largest number of runs that any of a workflow's tasks had. */
+function countRuns(id: string): number {
+  const runs = new Map<string, number>();
+  for (const {kind, task} of getWorld().fleet.events) {
+    if (kind !== FleetEventKind.Start || !task.startsWith(id)) continue;
+    runs.set(task, (runs.get(task) ?? 0) + 1);
+  }
+  return Math.max(0, ...runs.values());
+}
+
+When('a workflow of 1 task that crashes its hosts is submitted', async () => {
+  const spec = createSpec({crashesHost: true, workMs: 1_000});
+  crashingIds = new Set([await submit({spec})]);
+});
+
+When(
+  '{int} workflows of {int} tasks of {int} ms are submitted, every tenth of which crashes its hosts, one every {int} ms',
+  async (
+    count: number,
+    taskCount: number,
+    workMs: number,
+    intervalMs: number,
+  ) => {
+    const ids = new Set<string>();
+    for (let index = 1; index <= count; index += 1) {
+      const crashesHost = index % 10 === 0;
+      const id = await submit({
+        spec: createSpec({workMs, crashesHost}),
+        steps: [
+          createStep({
+            taskCount: crashesHost ? 1 : taskCount,
+            estimateMs: workMs,
+          }),
+        ],
+      });
+      if (crashesHost) ids.add(id);
+      await advance(intervalMs);
+    }
+    crashingIds = ids;
+  },
+);
+
+When(
+  'a workflow of {int} tasks that last for good is submitted',
+  async (taskCount: number) => {
+    const steps = [createStep({taskCount, lasting: true, perHostLimit: 1})];
+    await submit({spec: createSpec({lasting: true}), steps});
+  },
+);
+
+When(
+  'each host crashes {int} times, once every {int} s',
+  async (times: number, seconds: number) => {
+    const {fleet} = getWorld();
+    for (let round = 0; round < times; round += 1) {
+      await advance(seconds * 1_000 - RESTART_MS);
+      for (const machine of fleet.machines.keys()) fleet.crash(machine, false);
+      await advance(RESTART_MS);
+      for (const machine of fleet.machines.keys()) fleet.boot(machine);
+    }
+    await advance(seconds * 1_000);
+  },
+);
+
+Then('it has crashed at most {int} hosts', (limit: number) => {
+  const [id] = crashingIds;
+  const crashes = countRuns(id);
+  assert.ok(crashes >= 1 && crashes <= limit, `${crashes} hosts crashed`);
+});
+
+Then('no task has crashed more than {int} hosts', (limit: number) => {
+  for (const id of crashingIds) {
+    const crashes = countRuns(id);
+    assert.ok(crashes <= limit, `${crashes} hosts crashed under ${id}`);
+  }
+});
+
+Then(
+  'the workflows that crash their hosts are {string}, and all others are {string}',
+  async (crashing: string, others: string) => {
+    for (const {id} of getSubmitted()) {
+      const expected = crashingIds.has(id) ? crashing : others;
+      assert.equal(await getWorld().readState(id), expected, id);
+    }
+  },
+);
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -10,6 +10,7 @@
   forEachTask,
   isFinal,
   mayStopTask,
+  recordCrash,
 } from '../../decisions/workflows';
 import {Store} from '../../ports';
 import {HostRefusal, PlacementAdvisor, TaskHosts} from '../../ports/hosts';
@@ -276,6 +277,7 @@
         if (cause === HostRefusal.Ticket) tickets.discard(task.group, host.id);
         requeue(task);
       },
+      onCrash: handleCrash,
       onUpdate: schedulePlacement,
       onFenced: () => onFenced('a host has accepted a higher fencing token'),
     });
@@ -327,6 +329,19 @@
     schedulePlacement();
   }
 
+  /** Gives up tasks that crash host after host. */
+  function handleCrash(tasks: readonly TaskRecord[]): void {
+    for (const task of recordCrash(tasks)) {
+      const record = records.get(task.workflow.id);
+      if (!record || isFinal(record.state)) continue;
+      finish(
+        record,
+        WorkflowState.Failed,
+        `${task.crashes} hosts crashed under ${task.name}`,
+      );
+    }
+  }
+
   /**
    * Makes a task eligible for placement again once its run is known not to be
    * executing.
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -16,6 +16,7 @@
 import {delay} from '../../state';
 import {Log} from '../../telemetry';
 import {TaskEnd, TaskHost} from '../../types/workflow';
+import {HostEnd} from './host_end';
 import {createRunEndTracker} from './run_end_tracker';
 import {createHostClock} from './host_clock';
 import {createRunOrders} from './run_orders';
@@ -63,7 +64,7 @@
    * Marks the host as gone: its incarnation has certainly ended, and with it
    * all of its runs.
    */
-  markGone(cause: string): void;
+  markGone(cause: string, end: HostEnd): void;
   /**
    * Returns whether the session can be closed: no tasks are left and the host
    * is no longer registered.
@@ -108,6 +109,11 @@
    * reporting an end.
    */
   readonly onLost: (task: TaskRecord, cause: string) => void;
+  /**
+   * Called when the host has crashed, with the tasks that were placed on it,
+   * before their runs are dropped.
+   */
+  readonly onCrash: (tasks: readonly TaskRecord[]) => void;
   /** Called when the host's room or the state of its runs has changed. */
   readonly onUpdate: () => void;
   /** Called when the host has accepted the fencing token of a later leader. */
@@ -160,6 +166,7 @@
   onBegun,
   onEnd,
   onLost,
+  onCrash,
   onUpdate,
   onFenced,
 }: HostSessionOptions): HostSession {
@@ -321,6 +328,8 @@
     running: HoldReport['running'][number],
   ): void {
     placement.confirmed = true;
+    placement.listed = true;
+    room.starting.delete(task);
     onBegun(task);
     placement.seenAt = performance.now();
     if (running.percent !== placement.percent) {
@@ -380,6 +389,7 @@
    */
   function handleRestart(newBornAt: number): void {
     log.warn('host restarted', {host: host.id, bornAt: newBornAt});
+    reportCrash(task => task.placement?.bornAt !== newBornAt);
     bornAt = newBornAt;
     runEnds.reset();
     acknowledged = 0;
@@ -403,18 +413,28 @@
     }
     suspectUntil = performance.now() + SUSPECT_DURATION_MS;
     if (failure === HostCallFailure.Replaced) {
-      handleGone('another host incarnation answers at its address');
+      handleGone(
+        'another host incarnation answers at its address',
+        HostEnd.Crashed,
+      );
     }
   }
 
-  function handleGone(cause: string): void {
+  function handleGone(cause: string, end: HostEnd): void {
     if (gone) return;
     gone = true;
+    if (end === HostEnd.Crashed) reportCrash(() => true);
     log.warn('host gone', {host: host.id, pool: host.pool, cause});
     for (const task of [...tasks.values()]) dropRun(task, cause);
     onUpdate();
   }
 
+  /** Hosts that drain or wait for an order end without a crash. */
+  function reportCrash(wasPlaced: (task: TaskRecord) => boolean): void {
+    if (host.draining || cordoned) return;
+    onCrash([...tasks.values()].filter(wasPlaced));
+  }
+
   /**
    * Drops the runs of an unreachable host once its lease has certainly expired,
    * as the host stops them by then.
@@ -432,6 +452,7 @@
 
   function release(task: TaskRecord): void {
     if (!tasks.delete(task.name)) return;
+    room.starting.delete(task);
     releaseRoom(room, task.step, task.group);
   }
 
@@ -493,6 +514,7 @@
     adopt(task) {
       tasks.set(task.name, task);
       reserveRoom(room, task.step, task.group);
+      room.starting.add(task);
       void hold();
     },
     add: task => void tasks.set(task.name, task),
@@ -534,10 +556,14 @@
     host,
     free: {...host.capacity},
     groups: new Map(),
+    starting: new Set(),
     serving: 0,
     filling: 0,
     degraded: false,
   };
-  for (const task of tasks) reserveRoom(room, task.step, task.group);
+  for (const task of tasks) {
+    reserveRoom(room, task.step, task.group);
+    if (!task.placement?.listed) room.starting.add(task);
+  }
   return room;
 }
--- a/src/actors/workflows/host_sessions.ts
+++ b/src/actors/workflows/host_sessions.ts
@@ -1,6 +1,7 @@
 import {TaskRecord, hasRoom} from '../../decisions/workflows';
 import {Mirror} from '../../state';
 import {TaskHost} from '../../types/workflow';
+import {HostEnd} from './host_end';
 import {HostSession} from './host_session';
 
 /**
@@ -113,7 +114,10 @@
       for (const [id, session] of all) {
         const latest = latestHosts.get(session.room.host.machine);
         if (latest && latest.id !== id && latest.bornAt > session.bornAt) {
-          session.markGone('a later host incarnation runs on its machine');
+          session.markGone(
+            'a later host incarnation runs on its machine',
+            HostEnd.Crashed,
+          );
         }
         if (!listed.has(id)) session.update(undefined);
         if (!session.isIdle()) continue;
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -19,6 +19,7 @@
   MaintenanceWave,
 } from '../../types/workflow';
 import {Coordinator} from './coordinator';
+import {HostEnd} from './host_end';
 import {HostSession} from './host_session';
 import {
   FleetSnapshot,
@@ -219,7 +220,7 @@
   function markHostsGone({sessions}: Order, liveHostId: string): void {
     for (const session of sessions) {
       if (session.room.host.id === liveHostId) continue;
-      session.markGone('ended by an order for its machine');
+      session.markGone('ended by an order for its machine', HostEnd.Ordered);
     }
   }
 
--- a/src/decisions/workflows/encode_progress.ts
+++ b/src/decisions/workflows/encode_progress.ts
@@ -48,6 +48,9 @@
     ...(tasks.some(task => task.failures > 0)
       ? {failures: tasks.map(task => task.failures)}
       : {}),
+    ...(tasks.some(task => task.crashes > 0)
+      ? {crashes: tasks.map(task => task.crashes)}
+      : {}),
     ...(Object.keys(checkpoints).length > 0 ? {checkpoints} : {}),
     ...(Object.keys(placements).length > 0 ? {placements} : {}),
   };
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -1,4 +1,5 @@
 import {Capacity, Step, TaskHost} from '../../types/workflow';
+import {TaskRecord} from './task_record';
 
 /** A host with its free capacity, which is updated as tasks are placed. */
 export interface HostRoom {
@@ -10,6 +11,8 @@
   };
   /** Number of tasks on the host by task group. */
   readonly groups: Map<string, number>;
+  /** Tasks on the host whose runs it has not listed in a report yet. */
+  readonly starting: Set<TaskRecord>;
   /** Number of tasks with a target for their response times. */
   serving: number;
   /**
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -2,6 +2,7 @@
 export * from './admission';
 export * from './demand_forecast';
 export * from './encode_progress';
+export * from './host_crash';
 export * from './host_health';
 export * from './host_room';
 export * from './machine_view';
--- a/src/decisions/workflows/place_tasks.ts
+++ b/src/decisions/workflows/place_tasks.ts
@@ -1,3 +1,4 @@
+import {isStartingSuspect, isSuspect, mayStartOn} from './host_crash';
 import {HostRoom, hasRoom, releaseRoom, reserveRoom} from './host_room';
 import {TaskRecord} from './task_record';
 import {UnplaceableSizes} from './unplaceable_sizes';
@@ -25,7 +26,7 @@
  * @param rooms candidate hosts
  * @param isAllowed returns whether a host may run the tasks at all
  * @param unplaceable sizes for which no candidate host has room; extended
- *     unless `isAllowed` has excluded hosts
+ *     unless hosts were excluded for other reasons
  */
 export function placeTasks(
   tasks: readonly TaskRecord[],
@@ -40,7 +41,11 @@
   if (step.gang) return placeGang(tasks, allowed);
   const placed = placeEach(tasks, allowed);
   const isFull = placed.length < tasks.length;
-  if (isFull && allowed.length === rooms.length) unplaceable.add(step);
+  const isBarred =
+    allowed.length < rooms.length ||
+    tasks.some(isSuspect) ||
+    rooms.some(isStartingSuspect);
+  if (isFull && !isBarred) unplaceable.add(step);
   return placed;
 }
 
@@ -51,9 +56,13 @@
   const placed: PlacedTask[] = [];
   for (const task of tasks) {
     const room = chooseRoom(task, rooms);
-    // The tasks of a step need the same room.
-    if (!room) break;
+    if (!room) {
+      if (isSuspect(task)) continue;
+      // The other tasks of the step need the same room.
+      break;
+    }
     reserveRoom(room, task.step, task.group);
+    room.starting.add(task);
     placed.push({task, room});
   }
   return placed;
@@ -77,7 +86,10 @@
   for (const choice of choices) {
     const placed = placeEach(tasks, choice);
     if (placed.length === tasks.length) return placed;
-    for (const {task, room} of placed) releaseRoom(room, task.step, task.group);
+    for (const {task, room} of placed) {
+      releaseRoom(room, task.step, task.group);
+      room.starting.delete(task);
+    }
   }
   return [];
 }
@@ -90,6 +102,7 @@
   let bestScore = -Infinity;
   for (const room of rooms) {
     if (!hasRoom(room, task.step, task.group)) continue;
+    if (!mayStartOn(task, room)) continue;
     const score = scoreRoom(task, room);
     if (score <= bestScore) continue;
     best = room;
--- a/src/decisions/workflows/placement.ts
+++ b/src/decisions/workflows/placement.ts
@@ -12,6 +12,8 @@
    * report.
    */
   confirmed: boolean;
+  /** Whether the host has listed the run in a report. */
+  listed: boolean;
   /** Whether a stop order was sent. */
   stopping: boolean;
   /**
--- a/src/decisions/workflows/stored_progress.ts
+++ b/src/decisions/workflows/stored_progress.ts
@@ -6,6 +6,11 @@
   readonly done: readonly number[];
   /** Number of failed runs of each task; absent if no run failed. */
   readonly failures?: readonly number[];
+  /**
+   * Number of crashes of hosts that each task may have caused; absent if there
+   * was none.
+   */
+  readonly crashes?: readonly number[];
   /** Last checkpoint by index of an unfinished task. */
   readonly checkpoints?: Readonly<Record<number, string>>;
   /** `hostId|bornAt|address` by index of a placed task. */
--- a/src/decisions/workflows/task_record.ts
+++ b/src/decisions/workflows/task_record.ts
@@ -32,6 +32,8 @@
    */
   run: number;
   failures: number;
+  /** Number of crashes of hosts that the task may have caused. */
+  crashes: number;
   checkpoint: string;
   placement: Placement | undefined;
   /** Hosts on which a run of the task has failed or stalled. */
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -211,6 +211,7 @@
     phase: TaskPhase.Waiting,
     run: 0,
     failures: 0,
+    crashes: 0,
     checkpoint: '',
     placement: undefined,
     avoid: new Set<string>(),
@@ -224,6 +225,7 @@
 function restoreTask(task: TaskRecord, stored: StoredGroup, now: number): void {
   task.run = stored.runs[task.index] ?? 0;
   task.failures = stored.failures?.[task.index] ?? 0;
+  task.crashes = stored.crashes?.[task.index] ?? 0;
   task.checkpoint = stored.checkpoints?.[task.index] ?? '';
   const place = stored.placements?.[task.index];
   if (stored.done.includes(task.index)) task.phase = TaskPhase.Done;
@@ -256,6 +258,7 @@
     address,
     run,
     confirmed: false,
+    listed: false,
     stopping: false,
     lastUnsettledReport: Infinity,
     stoppedAt: 0,
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -103,6 +103,8 @@
 const HOLD_TIMEOUT_MARGIN_MS = 300;
 /** Time that the advice service takes for each host, in ms. */
 const ADVICE_MS_PER_HOST = 20;
+/** Time in ms from the crash of a host to the start of the next one. */
+const RESTART_MS = 3_000;
 /** Time in ms after which the registry entry of an ended host is removed. */
 const REGISTRY_ENTRY_TTL_MS = 4_500;
 
@@ -169,7 +171,15 @@
       draining: false,
       coldMs: 0,
     };
-    hosts.set(host.id, createTaskHostModel(host, maxLeaseMs, record, gangs));
+    const crash = () => {
+      if (machines.get(id)?.hostId !== host.id) return;
+      endHost(id);
+      setTimeout(() => boot(id), RESTART_MS);
+    };
+    hosts.set(
+      host.id,
+      createTaskHostModel(host, maxLeaseMs, record, gangs, crash),
+    );
     setMachine(id, {state: MachineState.Up, hostId: host.id});
     putEntry(`${registry.prefix}${host.id}`, registry.write(host));
   }
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -39,6 +39,8 @@
   readonly tailMs?: number;
   /** A start requires a ticket of the advice service. */
   readonly ticket?: boolean;
+  /** The task crashes each host that starts it. */
+  readonly crashesHost?: boolean;
   /** Number of members of the task's gang; 0 if it has none. */
   readonly gangSize?: number;
 }
@@ -95,6 +97,8 @@
 
 /** Time in ms from a stop order to the end of the run. */
 const STOP_MS = 100;
+/** Time in ms from the start of a task that crashes its host to the crash. */
+const CRASH_DELAY_MS = 10;
 
 /**
  * Creates one incarnation of a host.
@@ -103,12 +107,14 @@
  * @param maxLeaseMs maximum length of the lease on its runs in ms
  * @param record called with every event
  * @param gangs gangs of the whole fleet
+ * @param crash ends the host without notice
  */
 export function createTaskHostModel(
   host: TaskHost,
   maxLeaseMs: number,
   record: RecordFleetEvent,
   gangs: Gangs,
+  crash: () => void,
 ): TaskHostModel {
   const runs = new Map<string, Run>();
   /** Highest number of a run that has ended or was ordered to stop, by task. */
@@ -276,6 +282,7 @@
       };
       runs.set(task, started);
       record({kind: FleetEventKind.Start, hostId: host.id, task, run});
+      if (behaviour.crashesHost) setTimeout(crash, CRASH_DELAY_MS);
       if (behaviour.gangSize) joinGang(started, behaviour.gangSize);
       else startWork(started);
       return answer();
