Let the product's store client wait for answers that make progress

The cause of the late configuration, looked for elsewhere: the product's own client of the key-value service limited the whole call, transfer included, by its timeout. A value that takes longer to transfer than the timeout was never read, and each try replaced all connections. No caller has reported it.

The limit now ends with the beginning of the answer, and then applies to each pause of its transfer.

--- a/features/http/store_connections.steps.ts
+++ b/features/http/store_connections.steps.ts
@@ -9,6 +9,8 @@
 
 const ADDRESS = '127.0.0.1';
 const TIMEOUT_MS = 1_000;
+/** Number of pieces in which a slow answer is sent. */
+const PIECES = 20;
 
 let store: Store;
 let url: string;
@@ -57,6 +59,44 @@
   },
 );
 
+/** Starts a service that sends the given part of each answer, in pieces. */
+async function startSlowService(
+  transferMs: number,
+  share: number,
+): Promise<void> {
+  const body = JSON.stringify({value: {key: 'a', value: 'x'.repeat(100_000)}});
+  const end = body.length * share;
+  const length = Math.ceil(end / PIECES);
+  const server = createServer(async (_, response) => {
+    for (let from = 0; from < end; from += length) {
+      if (response.destroyed) return;
+      response.write(body.slice(from, Math.min(end, from + length)));
+      await new Promise(resolve => setTimeout(resolve, transferMs / PIECES));
+    }
+    if (share === 1) response.end();
+  });
+  await new Promise<void>(resolve => server.listen(0, ADDRESS, resolve));
+  createStore((server.address() as AddressInfo).port);
+  disposals.push(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+}
+
+Given(
+  'a key-value service that takes {int} ms to transfer an answer',
+  (transferMs: number) => startSlowService(transferMs, 1),
+);
+
+Given('a key-value service whose answers stop halfway', () =>
+  startSlowService(0, 0.5),
+);
+
+Then('a value is read from the key-value service', async () => {
+  const answer = await store.get('a');
+  assert.equal(answer.unwrapOr(undefined)?.value.length, 100_000);
+});
+
 Then(
   'a swap at the key-value service fails with {string}',
   async (failure: string) => {
--- a/src/adapters/store/http_store.ts
+++ b/src/adapters/store/http_store.ts
@@ -9,12 +9,16 @@
   SwapResult,
   TransactionResult,
 } from '../../ports';
+import {createProgressDeadline} from './progress_deadline';
 
 /** Addresses of the key-value service and timeout of its calls. */
 export interface HttpStoreOptions {
   /** Base URLs of the service; the next one is used after a failure. */
   readonly urls: readonly string[];
-  /** Timeout of a call in ms, in addition to the wait of a watch. */
+  /**
+   * Time in ms until an answer must begin, in addition to the wait of a watch,
+   * and maximum pause within its transfer.
+   */
   readonly timeoutMs: number;
 }
 
@@ -63,17 +67,24 @@
   ): Promise<Result<T, StoreFailure>> {
     const url = options.urls[urlIndex % options.urls.length];
     const usedAgent = agent;
+    const deadline = createProgressDeadline(options.timeoutMs + waitMs);
     try {
       const response = await request(`${url}${path}`, {
         method: 'POST',
         dispatcher: usedAgent,
         body: JSON.stringify(body),
         headers: {'content-type': 'application/json'},
-        signal: AbortSignal.timeout(options.timeoutMs + waitMs),
+        signal: deadline.signal,
         headersTimeout: 0,
         bodyTimeout: 0,
       });
-      const answer = (await response.body.json()) as {value: T};
+      const chunks: Buffer[] = [];
+      for await (const chunk of response.body) {
+        chunks.push(chunk as Buffer);
+        deadline.extend(options.timeoutMs);
+      }
+      const text = Buffer.concat(chunks).toString('utf8');
+      const answer = JSON.parse(text) as {value: T};
       if (response.statusCode === 200) return Result.ok(answer.value);
       urlIndex += 1;
       return Result.err(classifyStatus(response.statusCode));
@@ -82,6 +93,8 @@
       if ((error as Error).name === 'TimeoutError')
         replaceConnections(usedAgent);
       return Result.err(classifyError(error));
+    } finally {
+      deadline.clear();
     }
   }
 
