Suspect tasks whose start a crashed host had not acknowledged

Cause: a crash counted only against acknowledged starts. A host that crashes before it answers an order left that task out, while others that it was starting were suspected instead.

Change: all runs that were not listed yet count. A task is the only cause of a crash only if its start was acknowledged, since an order may never have arrived.

--- a/features/workflows/crashing_tasks.feature
+++ b/features/workflows/crashing_tasks.feature
@@ -40,3 +40,10 @@
     When a workflow of 3 tasks that last for good is submitted
     And each host crashes 5 times, once every 5 s
     Then it is "running" within 1 s
+
+  # Guards against a task that is never suspected because its host crashes before it acknowledges the start.
+  Scenario: A host crashes before it has acknowledged all starts
+    Given a host that has acknowledged the start of 1 of 2 tasks
+    When it crashes
+    Then both tasks may have caused the crash
+    And none of them is given up
--- a/features/workflows/crashing_tasks.steps.ts
+++ b/features/workflows/crashing_tasks.steps.ts
@@ -1,10 +1,18 @@
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {WorkflowDraft} from '../../src/actors/workflows';
+import {
+  TaskRecord,
+  createPlacement,
+  createWorkflowRecord,
+  getGroup,
+  isSuspect,
+  recordCrash,
+} from '../../src/decisions/workflows';
 import {FleetEventKind} from '../../src/stand_ins/fleet';
 import {advance} from '../support/paused_clock';
 import {getSubmitted, getWorld} from './running.steps';
-import {createSpec, createStep} from './workflow_world';
+import {QUEUE, createSpec, createStep} from './workflow_world';
 
 /** Time in ms from the crash of a host to the start of the next one. */
 const RESTART_MS = 2_000;
@@ -106,3 +114,41 @@
     }
   },
 );
+
+let tasks: readonly TaskRecord[] = [];
+let givenUp: readonly TaskRecord[] = [];
+
+Given(
+  'a host that has acknowledged the start of {int} of {int} tasks',
+  (acknowledged: number, taskCount: number) => {
+    const workflow = {
+      ...QUEUE,
+      id: '00000000000000a1',
+      queue: QUEUE.name,
+      acceptedAt: 0,
+      spec: createSpec(),
+      steps: [createStep({taskCount})],
+      occurrences: 1,
+      firstAt: 0,
+      intervalMs: 0,
+    };
+    const record = createWorkflowRecord(workflow, undefined, {}, 0);
+    tasks = getGroup(record, 0, 0);
+    for (const task of tasks) {
+      task.placement = createPlacement('host-1', 1, 'address-1', 1, 0);
+      task.placement.confirmed = task.index < acknowledged;
+    }
+  },
+);
+
+When('it crashes', () => {
+  givenUp = recordCrash(tasks);
+});
+
+Then('both tasks may have caused the crash', () => {
+  assert.ok(tasks.every(isSuspect));
+});
+
+Then('none of them is given up', () => {
+  assert.deepEqual(givenUp, []);
+});
--- a/src/decisions/workflows/host_crash.ts
+++ b/src/decisions/workflows/host_crash.ts
@@ -21,17 +21,15 @@
 export function recordCrash(
   tasks: readonly TaskRecord[],
 ): readonly TaskRecord[] {
-  const starting = tasks.filter(
-    ({placement}) => placement?.confirmed && !placement.listed,
-  );
+  const starting = tasks.filter(({placement}) => !placement?.listed);
   const suspects =
     starting.length > 0 ? starting : tasks.filter(({step}) => !step.lasting);
   for (const task of suspects) task.crashes += 1;
-  return suspects.filter(
-    task =>
-      (starting.length === 1 && task.crashes >= MAX_OWN_CRASHES) ||
-      (!task.step.lasting && task.crashes >= MAX_SHARED_CRASHES),
-  );
+  return suspects.filter(({crashes, placement, step}) => {
+    const isCause = starting.length === 1 && placement?.confirmed;
+    if (isCause && crashes >= MAX_OWN_CRASHES) return true;
+    return !step.lasting && crashes >= MAX_SHARED_CRASHES;
+  });
 }
 
 /**
