Look for reasons to bar hosts only if tasks were left over

Found reading the diff: each placement of a step walked the starting tasks of all hosts, also when all its tasks had been placed.

--- a/src/decisions/workflows/place_tasks.ts
+++ b/src/decisions/workflows/place_tasks.ts
@@ -40,12 +40,12 @@
   const allowed = rooms.filter(isAllowed);
   if (step.gang) return placeGang(tasks, allowed);
   const placed = placeEach(tasks, allowed);
-  const isFull = placed.length < tasks.length;
+  if (placed.length === tasks.length) return placed;
   const isBarred =
     allowed.length < rooms.length ||
     tasks.some(isSuspect) ||
     rooms.some(isStartingSuspect);
-  if (isFull && !isBarred) unplaceable.add(step);
+  if (!isBarred) unplaceable.add(step);
   return placed;
 }
 
