Shape the placement pass as stages, and name organisations in the model

Cause: organisations, limits on starts and reservations have no place in the pass, and run times are asked for by queue only. Change: a pass has one input type and four stages (order, limit, reservations, host); the three new stages change nothing yet. Run times take the step.

--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -21,7 +21,13 @@
 } from '../../src/stand_ins/platform';
 import {delay} from '../../src/state';
 import {createLog, LogLevel} from '../../src/telemetry';
-import {MaintenanceWave, Queue, Step, Workflow} from '../../src/types/workflow';
+import {
+  MaintenanceWave,
+  Organisation,
+  Queue,
+  Step,
+  Workflow,
+} from '../../src/types/workflow';
 import {
   WorkflowEntryHost,
   createWorkflowEntryHost,
@@ -80,8 +86,12 @@
   /** Returns the state of a workflow as a live entry host reports it. */
   readState(id: string): Promise<string | undefined>;
   cancel(member: TestMember, id: string): Promise<void>;
-  /** Writes a configuration with the given queues to the store. */
-  configure(version: number, queues: readonly Queue[]): void;
+  /** Writes a configuration to the store. */
+  configure(
+    version: number,
+    queues: readonly Queue[],
+    organisations?: readonly Organisation[],
+  ): void;
   /** Declares a maintenance wave in the store. */
   declareWave(wave: MaintenanceWave): void;
   /** Returns all reports of waves, as `number state`. */
@@ -114,6 +124,7 @@
   authority: 'passes.example',
   prefix: '/windows/',
   priority: 0,
+  isPublic: false,
   maxAttempts: 3,
   stretch: 1.6,
   targetDurationMs: 600,
@@ -210,8 +221,13 @@
     fleet.addMachine(SPARE_POOL, true);
   }
 
-  function configure(version: number, queues: readonly Queue[]): void {
-    put(CONFIGURATION_KEY, JSON.stringify({version, queues, pools}));
+  function configure(
+    version: number,
+    queues: readonly Queue[],
+    organisations: readonly Organisation[] = [],
+  ): void {
+    const configuration = {version, queues, pools, organisations};
+    put(CONFIGURATION_KEY, JSON.stringify(configuration));
   }
 
   function put(key: string, value: string): void {
@@ -251,9 +267,8 @@
             const stored = JSON.parse(value);
             return {
               ...stored,
-              pools: new Map(
-                stored.pools.map((pool: {name: string}) => [pool.name, pool]),
-              ),
+              pools: indexByName(stored.pools),
+              organisations: indexByName(stored.organisations),
             };
           },
         },
@@ -378,6 +393,12 @@
   };
 }
 
+function indexByName<T extends {readonly name: string}>(
+  items: readonly T[],
+): ReadonlyMap<string, T> {
+  return new Map(items.map(item => [item.name, item]));
+}
+
 /** Returns the number of started runs of tasks whose name has a prefix. */
 export function countStarts({fleet}: WorkflowWorld, idPrefix = ''): number {
   return fleet.events.filter(
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -16,7 +16,13 @@
 import {HostRefusal, PlacementAdvisor, TaskHosts} from '../../ports/hosts';
 import {Mirror} from '../../state';
 import {Log, PoolGauge} from '../../telemetry';
-import {TaskEnd, TaskHost, Workflow, WorkflowState} from '../../types/workflow';
+import {
+  Organisation,
+  TaskEnd,
+  TaskHost,
+  Workflow,
+  WorkflowState,
+} from '../../types/workflow';
 import {createFillerPacing} from './filler_pacing';
 import {MIN_CLOCK_RATE} from './host_clock';
 import {HostSession, createHostSession} from './host_session';
@@ -83,6 +89,8 @@
   readonly times: CoordinatorTimes;
   /** Mirror of the host registry. */
   readonly registry: Mirror<TaskHost>;
+  /** Returns the configured organisations by name. */
+  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -115,6 +123,7 @@
   term,
   times,
   registry,
+  getOrganisations,
   unixNow,
   log,
   onFenced,
@@ -136,6 +145,7 @@
     sessions,
     tickets,
     runTimes,
+    getOrganisations,
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
@@ -234,8 +244,9 @@
 
   function forecastWork({queue, pool, steps, firstAt}: Workflow): void {
     if (firstAt > 0 || steps.some(step => step.lasting)) return;
-    const work = steps.reduce((sum, {taskCount, cpuMillis, estimateMs}) => {
-      return sum + taskCount * cpuMillis * runTimes.estimate(queue, estimateMs);
+    const work = steps.reduce((sum, step) => {
+      const runMs = runTimes.estimate(queue, step);
+      return sum + step.taskCount * step.cpuMillis * runMs;
     }, 0);
     forecast.observe(pool, work, performance.now());
   }
--- a/src/actors/workflows/load_reporter.ts
+++ b/src/actors/workflows/load_reporter.ts
@@ -27,10 +27,8 @@
 const WAITING_INTERVAL_MS = 1_000;
 /** Share of a pool's CPU that placement can use in practice. */
 const USABLE_SHARE = 0.85;
-/**
- * Declared run time in ms for which each queue's run time factor is reported.
- */
-const REFERENCE_RUN_MS = 1_000;
+/** Step for which each queue's run time factor is reported. */
+const REFERENCE_STEP = {image: '', estimateMs: 1_000};
 
 /**
  * Creates the reporter of a term.
@@ -60,7 +58,7 @@
       const {pool, queue} = record.workflow;
       const queues = factors.get(pool) ?? {};
       queues[queue] =
-        runTimes.estimate(queue, REFERENCE_RUN_MS) / REFERENCE_RUN_MS;
+        runTimes.estimate(queue, REFERENCE_STEP) / REFERENCE_STEP.estimateMs;
       factors.set(pool, queues);
       work.set(pool, (work.get(pool) ?? 0) + measureWork(record));
       if (!record.begun) waiting[queue] = (waiting[queue] ?? 0) + 1;
@@ -87,7 +85,7 @@
       const left = group
         ? group.filter(task => task.phase !== TaskPhase.Done).length
         : step.taskCount;
-      const runMs = runTimes.estimate(workflow.queue, step.estimateMs);
+      const runMs = runTimes.estimate(workflow.queue, step);
       sum += left * step.cpuMillis * runMs;
     });
     return sum;
--- a/src/actors/workflows/run_end_handler.ts
+++ b/src/actors/workflows/run_end_handler.ts
@@ -88,11 +88,11 @@
       if (end.kind === TaskEndKind.Done) {
         if (placement) {
           const actualMs = performance.now() - placement.orderedAt;
-          const {queue} = task.workflow;
-          const {estimateMs} = task.step;
-          const expectedMs = Math.max(1, runTimes.estimate(queue, estimateMs));
-          hostHealth.recordDone(placement.hostId, actualMs / expectedMs);
-          runTimes.observe(queue, estimateMs, actualMs);
+          const {step, workflow} = task;
+          const expectedMs = runTimes.estimate(workflow.queue, step);
+          const slowness = actualMs / Math.max(1, expectedMs);
+          hostHealth.recordDone(placement.hostId, slowness);
+          runTimes.observe(workflow.queue, step, actualMs);
         }
         return handleDone(record, task);
       }
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,14 +1,16 @@
 import {
   HostRoom,
   PlacedTask,
+  PlacementCandidate,
+  PlacementPass,
   RunTimes,
   TaskPhase,
   TaskRecord,
-  UnplaceableSizes,
-  Urgency,
   WorkflowRecord,
-  compareUrgency,
+  createCandidateOrder,
   createPlacement,
+  createReservations,
+  createStartLimit,
   createUnplaceableSizes,
   getCriticalPathMs,
   getDueAt,
@@ -19,7 +21,12 @@
   placeTasks,
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
-import {Workflow, WorkflowState} from '../../types/workflow';
+import {
+  Organisation,
+  Step,
+  Workflow,
+  WorkflowState,
+} from '../../types/workflow';
 import {HostSessions} from './host_sessions';
 import {TicketCache} from './ticket_cache';
 
@@ -38,6 +45,8 @@
   readonly sessions: HostSessions;
   readonly tickets: TicketCache;
   readonly runTimes: RunTimes;
+  /** Returns the configured organisations by name. */
+  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -45,14 +54,6 @@
   readonly log: Log;
 }
 
-/** A workflow with tasks to place. */
-interface Candidate {
-  readonly record: WorkflowRecord;
-  readonly urgency: Urgency;
-  /** Groups with waiting tasks that may start now. */
-  readonly groups: readonly (readonly TaskRecord[])[];
-}
-
 /**
  * Creates the placer of a term.
  *
@@ -63,20 +64,20 @@
   sessions,
   tickets,
   runTimes,
+  getOrganisations,
   store,
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
-  function listCandidates(): Map<string, Candidate[]> {
+  function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
-    const byPool = new Map<string, Candidate[]>();
+    const byPool = new Map<string, PlacementCandidate[]>();
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
       const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
-      const expect = (declaredMs: number) =>
-        runTimes.estimate(workflow.queue, declaredMs);
+      const expect = (step: Step) => runTimes.estimate(workflow.queue, step);
       const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
       const occurrence = getFirstUnfinishedOccurrence(record);
       const remainingSteps = workflow.steps.map((step, index) =>
@@ -102,28 +103,42 @@
     return byPool;
   }
 
-  function placeWorkflow(
-    {record, groups}: Candidate,
-    rooms: readonly HostRoom[],
-    unplaceable: UnplaceableSizes,
-  ): void {
-    const {workflow} = record;
-    const placed: PlacedTask[] = [];
-    for (const group of groups) {
-      const waiting = group.filter(isWaiting);
-      if (group[0].step.gang && waiting.length < group.length) continue;
-      const chosen = placeTasks(
+  function placePool(pass: PlacementPass): void {
+    const {rooms} = pass;
+    const order = createCandidateOrder(pass);
+    const limit = createStartLimit();
+    const reservations = createReservations();
+    const unplaceable = createUnplaceableSizes();
+
+    function placeGroup(
+      {workflow}: WorkflowRecord,
+      group: readonly TaskRecord[],
+    ): readonly PlacedTask[] {
+      const {gang} = group[0].step;
+      const waiting = limit.select(group.filter(isWaiting));
+      if (waiting.length === 0) return [];
+      if (gang && waiting.length < group.length) return [];
+      const isAdvised = getFilter(workflow, waiting);
+      const placed = placeTasks(
         waiting,
         rooms,
-        getFilter(workflow, waiting),
+        room => isAdvised(room) && reservations.mayUse(waiting[0], room),
         unplaceable,
       );
-      placed.push(...chosen);
-      if (group[0].step.gang && chosen.length > 0) alignRuns(chosen);
-      if (chosen.length < waiting.length)
+      if (gang && placed.length > 0) alignRuns(placed);
+      if (placed.length < waiting.length) {
         requestTickets(workflow, waiting, rooms);
+        const chosen = new Set(placed.map(({task}) => task));
+        reservations.consider(waiting.filter(task => !chosen.has(task)));
+      }
+      return placed;
+    }
+
+    for (let next = order.next(); next; next = order.next()) {
+      const {record, groups} = next;
+      const placed = groups.flatMap(group => placeGroup(record, group));
+      if (placed.length > 0) start(record, placed);
     }
-    if (placed.length > 0) order(record, placed);
   }
 
   function getFilter(
@@ -157,7 +172,7 @@
     for (const {task} of placed) task.run = run;
   }
 
-  function order(record: WorkflowRecord, placed: readonly PlacedTask[]): void {
+  function start(record: WorkflowRecord, placed: readonly PlacedTask[]): void {
     const now = performance.now();
     for (const {task, room} of placed) {
       const {id, bornAt, address} = room.host;
@@ -190,12 +205,14 @@
       for (const [pool, candidates] of listCandidates()) {
         const usable = sessions.listUsable(pool);
         if (usable.length === 0) continue;
-        const rooms = usable.map(session => session.room);
-        candidates.sort((a, b) => compareUrgency(a.urgency, b.urgency));
-        const unplaceable = createUnplaceableSizes();
-        for (const candidate of candidates) {
-          placeWorkflow(candidate, rooms, unplaceable);
-        }
+        placePool({
+          pool,
+          now: performance.now(),
+          rooms: usable.map(session => session.room),
+          candidates,
+          runTimes,
+          organisations: getOrganisations(),
+        });
       }
     },
   };
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -1,5 +1,6 @@
 /** State of workflows at their leader, and pure scheduling decisions. */
 export * from './admission';
+export * from './candidate_order';
 export * from './demand_forecast';
 export * from './encode_progress';
 export * from './host_crash';
@@ -10,9 +11,12 @@
 export * from './pace_fillers';
 export * from './place_tasks';
 export * from './placement';
+export * from './placement_pass';
 export * from './plan_pools';
 export * from './plan_wave';
+export * from './reservations';
 export * from './run_times';
+export * from './start_limit';
 export * from './stored_progress';
 export * from './stored_state';
 export * from './task_record';
--- a/src/decisions/workflows/order_workflows.ts
+++ b/src/decisions/workflows/order_workflows.ts
@@ -21,16 +21,16 @@
  * Returns the length of the critical path through a workflow's steps, in ms.
  *
  * @param steps steps in topological order
- * @param expect returns the expected run time of a declared one, in ms
+ * @param expect returns the expected run time of a step's tasks, in ms
  */
 export function getCriticalPathMs(
   steps: readonly Step[],
-  expect: (declaredMs: number) => number = declaredMs => declaredMs,
+  expect: (step: Step) => number = step => step.estimateMs,
 ): number {
   const ends: number[] = [];
   steps.forEach((step, index) => {
     const start = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
-    ends[index] = start + expect(step.estimateMs);
+    ends[index] = start + expect(step);
   });
   return Math.max(0, ...ends);
 }
--- a/src/decisions/workflows/run_times.ts
+++ b/src/decisions/workflows/run_times.ts
@@ -1,9 +1,14 @@
+import {Step} from '../../types/workflow';
+
+/** The parts of a step that its run time depends on. */
+export type TimedStep = Pick<Step, 'image' | 'estimateMs'>;
+
 /** Estimates actual run times from declared ones, per queue. */
 export interface RunTimes {
   /** Records the run time of a successful run. */
-  observe(queue: string, declaredMs: number, actualMs: number): void;
-  /** Returns the expected run time for a declared one, in ms. */
-  estimate(queue: string, declaredMs: number): number;
+  observe(queue: string, step: TimedStep, actualMs: number): void;
+  /** Returns the expected run time of a step's tasks, in ms. */
+  estimate(queue: string, step: TimedStep): number;
 }
 
 /** Decay of the sums per recorded run; about the last hundred runs count. */
@@ -24,7 +29,7 @@
   >();
 
   return {
-    observe(queue, declaredMs, actualMs) {
+    observe(queue, {estimateMs: declaredMs}, actualMs) {
       const sum = sums.get(queue) ?? {declared: 0, actual: 0, runs: 0};
       sums.set(queue, {
         declared: sum.declared * DECAY + declaredMs,
@@ -32,7 +37,7 @@
         runs: sum.runs * DECAY + 1,
       });
     },
-    estimate(queue, declaredMs) {
+    estimate(queue, {estimateMs: declaredMs}) {
       const sum = sums.get(queue);
       if (!sum || declaredMs === 0) return declaredMs;
       const meanActual = sum.actual / sum.runs;
--- a/src/types/workflow/fleet_configuration.ts
+++ b/src/types/workflow/fleet_configuration.ts
@@ -1,5 +1,6 @@
-import {Queue} from './queue';
+import {Organisation} from './organisation';
 import {Pool} from './pool';
+import {Queue} from './queue';
 
 /** The operator's configuration of queues and pools. */
 export interface FleetConfiguration {
@@ -8,4 +9,6 @@
   readonly queues: readonly Queue[];
   /** Pools by name. */
   readonly pools: ReadonlyMap<string, Pool>;
+  /** Organisations by name; empty if callers need no key. */
+  readonly organisations: ReadonlyMap<string, Organisation>;
 }
--- a/src/types/workflow/index.ts
+++ b/src/types/workflow/index.ts
@@ -7,6 +7,7 @@
 export * from './fleet_configuration';
 export * from './machine';
 export * from './maintenance_wave';
+export * from './organisation';
 export * from './pool';
 export * from './queue';
 export * from './running_task';
--- a/src/types/workflow/queue.ts
+++ b/src/types/workflow/queue.ts
@@ -10,6 +10,8 @@
   readonly prefix: string;
   /** Priority; 0 is the highest. */
   readonly priority: number;
+  /** Whether callers need no key and its workflows belong to no organisation. */
+  readonly isPublic: boolean;
   /** Number of failed runs of a task after which its workflow fails. */
   readonly maxAttempts: number;
   /** Latency objective as a multiple of the critical path's run time. */
--- a/src/types/workflow/workflow.ts
+++ b/src/types/workflow/workflow.ts
@@ -5,6 +5,8 @@
 export interface Workflow {
   readonly id: string;
   readonly queue: string;
+  /** Name of the organisation that submitted it; absent if there is none. */
+  readonly organisation?: string;
   /** Pool whose hosts run the tasks. */
   readonly pool: string;
   /** Opaque text that is passed to every task. */
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -165,6 +165,7 @@
         term,
         times,
         registry,
+        getOrganisations: () => latest?.organisations ?? new Map(),
         unixNow,
         log,
         onFenced: cause => leadership.resign(cause),
