Let a new leader use machines as soon as the gap after their last order is over

Cause: a new leader counted every recorded order as if it had been sent when its term began, so machines that had moved seconds before stayed where they were for 4.15 s more. Change: members that may lead follow the record and remember when they first saw each order; the gap counts from then. An order is given up if its record took longer than the gap allows for. No clocks are compared.

--- a/features/workflows/running.feature
+++ b/features/workflows/running.feature
@@ -96,7 +96,7 @@
   Scenario: Work continues while a third of the store's answers to writes are lost
     Given 3 entry hosts and 4 hosts for workflows
     When 35 of 100 store answers are lost, which is detected after 1500 ms
-    And 30 workflows are submitted, one every 50 ms
+    And 120 workflows are submitted, one every 50 ms
     Then at least nine of ten were accepted, and the others have an unknown outcome
     And all are "completed" within 1 s
     And at least nine of ten tasks started within 1500 ms of their submission
--- a/features/workflows/time_of_day.feature
+++ b/features/workflows/time_of_day.feature
@@ -97,6 +97,29 @@
     And another holder takes over with a gap of 4000 ms
     Then the other holder may order the machine
 
+  @promise-budget @failure-crash
+  Scenario: A new holder that saw an order when it was recorded counts the gap from then
+    Given a member that follows the record of machine orders
+    And an earlier holder has recorded an order for a machine
+    When 3 s pass
+    And another holder takes over with a gap of 4000 ms
+    Then the other holder may not order the machine
+    When 2 s pass
+    Then the other holder may order the machine
+
+  @promise-budget @failure-clock @failure-crash
+  Scenario: A later order for the machine starts the gap anew, also for a member that saw the first
+    Given a member that follows the record of machine orders
+    And an earlier holder has recorded an order for a machine
+    When 3 s pass
+    And the earlier holder records another order for the machine
+    And the wall clock is set 30000 ms forward
+    And another holder takes over with a gap of 4000 ms
+    And 3 s pass
+    Then the other holder may not order the machine
+    When 2 s pass
+    Then the other holder may order the machine
+
   @promise-budget @failure-lost-answer
   Scenario: A write of the record that is carried out late removes no later order
     Given an earlier holder has recorded an order for a machine
--- a/features/workflows/time_of_day.steps.ts
+++ b/features/workflows/time_of_day.steps.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
-import {LEADER_KEY, MACHINE_ORDERS_KEY} from '../../src/actors/workflows';
+import {
+  LEADER_KEY,
+  MACHINE_ORDERS_KEY,
+  NO_ORDER_SIGHTINGS,
+  OrderSightings,
+  createOrderSightings,
+} from '../../src/actors/workflows';
 import {OrderLog, createOrderLog} from '../../src/actors/workflows/order_log';
 import {
   createKeyValue,
@@ -23,6 +29,8 @@
 After(() => {
   clearInterval(reader);
   clearInterval(reviewer);
+  sightings.dispose();
+  sightings = NO_ORDER_SIGHTINGS;
 });
 
 Given('a Unix clock that has run for {int} s', async (seconds: number) => {
@@ -58,6 +66,7 @@
 const GAP_MS = 4_000;
 const keyValue = createKeyValue();
 let orderLog: OrderLog;
+let sightings: OrderSightings = NO_ORDER_SIGHTINGS;
 let reviewer: ReturnType<typeof setInterval> | undefined;
 
 /** Time in ms after which the store carries out the next write. */
@@ -84,11 +93,21 @@
   const fence = keyValue.get(LEADER_KEY)?.version ?? 0;
   const store = delayWrites(createMemoryStore(keyValue, createStoreFaults()));
   clearInterval(reviewer);
-  orderLog = createOrderLog(store, fence, gapMs, () => Date.now());
+  orderLog = createOrderLog(store, fence, gapMs, () => Date.now(), sightings);
   reviewer = setInterval(() => orderLog.review(), READ_INTERVAL_MS);
   await advance(100);
 }
 
+Given('a member that follows the record of machine orders', async () => {
+  const store = createMemoryStore(keyValue, createStoreFaults());
+  sightings = createOrderSightings(store, 1_200, 200);
+  await advance(100);
+});
+
+When('the earlier holder records another order for the machine', async () => {
+  assert.ok(await orderLog.record([MACHINE]));
+});
+
 Given('an earlier holder has recorded an order for a machine', async () => {
   await takeOver(GAP_MS);
   await advance(GAP_MS);
--- a/src/actors/workflows/index.ts
+++ b/src/actors/workflows/index.ts
@@ -8,3 +8,4 @@
 export * from './keys';
 export * from './leadership';
 export * from './machine_manager';
+export * from './order_sightings';
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -10,7 +10,7 @@
   MachineOrderHolder,
   Machines,
 } from '../../ports/hosts';
-import {Mirror, delay} from '../../state';
+import {Mirror, delay, startStopwatch} from '../../state';
 import {Log} from '../../telemetry';
 import {
   FleetConfiguration,
@@ -28,6 +28,7 @@
   measurePoolCpu,
 } from './machine_views';
 import {createOrderLog} from './order_log';
+import {OrderSightings} from './order_sightings';
 import {createPoolLog} from './pool_log';
 import {createWaveRecords} from './wave_records';
 
@@ -53,6 +54,8 @@
   readonly machines: Machines;
   readonly waves: Mirror<MaintenanceWave>;
   readonly coordinator: Coordinator;
+  /** Machine orders that this member has seen before its term. */
+  readonly orderSightings: OrderSightings;
   readonly holder: MachineOrderHolder;
   /** Returns the time in ms since the store last confirmed the term. */
   readonly getTermAgeMs: () => number;
@@ -95,6 +98,11 @@
  * are sent: the minimum leader lease less the transmission time of an order.
  */
 const MAX_TERM_AGE_MS = 900;
+/**
+ * Maximum time in ms between the record of an order and the order; a later
+ * holder counts the gap from the time at which it saw the record.
+ */
+const MAX_SEND_DELAY_MS = 900;
 /**
  * Time in ms for which tasks that end by themselves may continue on a cordoned
  * machine that waits for upkeep.
@@ -131,6 +139,7 @@
   machines: port,
   waves,
   coordinator,
+  orderSightings,
   holder,
   getTermAgeMs,
   getConfiguration,
@@ -155,8 +164,9 @@
   const orderLog = createOrderLog(
     store,
     holder.fence,
-    times.holderGapMs + MAX_TERM_AGE_MS + HOLDER_SLACK_MS,
+    times.holderGapMs + MAX_SEND_DELAY_MS + HOLDER_SLACK_MS,
     unixNow,
+    orderSightings,
   );
   /** Orders decided in a review, sent once they are recorded in the store. */
   let queuedOrders: QueuedOrder[] = [];
@@ -248,9 +258,12 @@
     queuedOrders = [];
     if (due.length === 0) return;
     const machines = due.map(({machine}) => machine);
+    const getRecordMs = startStopwatch();
     const recorded = await orderLog.record(machines);
     // The process may have been paused, or the store slow, since the review.
-    if (recorded && getTermAgeMs() < MAX_TERM_AGE_MS) {
+    const isInTime =
+      getTermAgeMs() < MAX_TERM_AGE_MS && getRecordMs() < MAX_SEND_DELAY_MS;
+    if (recorded && isInTime) {
       for (const {send} of due) void send();
       return;
     }
--- a/src/actors/workflows/order_log.ts
+++ b/src/actors/workflows/order_log.ts
@@ -1,6 +1,8 @@
 import {Store} from '../../ports';
 import {delay} from '../../state';
 import {LEADER_KEY, MACHINE_ORDERS_KEY} from './keys';
+import {OrderMark, createOrderMark, readOrderMarks} from './order_mark';
+import {OrderSightings} from './order_sightings';
 
 /**
  * Records recent machine orders in the store, so that the next holder can
@@ -23,6 +25,13 @@
   dispose(): void;
 }
 
+/** An order that is recorded in the store. */
+interface RecordedOrder {
+  readonly mark: OrderMark;
+  /** Monotonic time in ms from which its gap counts. */
+  readonly at: number;
+}
+
 /** Minimum time in ms between two writes that only remove orders. */
 const CLEANUP_INTERVAL_MS = 1_000;
 /** Delay after a failed read, in ms. */
@@ -31,28 +40,33 @@
 /**
  * Creates the order log of a holder and loads the records of earlier holders.
  *
- * The clocks of hosts may differ, so the age of an earlier holder's order is
- * not known: each counts as if it had been sent when this holder's term began.
- * So orders are removed from the record as soon as the gap after them is over;
- * otherwise a new holder could not use machines that moved a while ago.
+ * The clocks of hosts may differ, so an earlier holder's order counts as if it
+ * had been recorded when this member first saw it, at the latest when its term
+ * began. Orders are removed from the record as soon as the gap after them is
+ * over; otherwise a holder that has not seen them before could not use machines
+ * that moved a while ago.
  *
  * @param store the key-value store
  * @param fence the holder's fencing token, a condition of each write
  * @param gapMs minimum time in ms after an earlier holder's order for a machine
  * @param unixNow returns the current Unix time in ms, stored for operators
+ * @param sightings orders that this member has seen before its term
  */
 export function createOrderLog(
   store: Store,
   fence: number,
   gapMs: number,
   unixNow: () => number,
+  sightings: OrderSightings,
 ): OrderLog {
   const abort = new AbortController();
   const startedAt = performance.now();
-  /** Machines that earlier holders have ordered. */
-  let earlier: ReadonlySet<string> | undefined;
-  /** Recorded machines with the monotonic time in ms of their last order. */
-  const recorded = new Map<string, number>();
+  /** Last orders of earlier holders by machine. */
+  let earlier: ReadonlyMap<string, RecordedOrder> | undefined;
+  /** Last orders by machine. */
+  const recorded = new Map<string, RecordedOrder>();
+  /** Number of orders of this term. */
+  let orderCount = 0;
   /** Monotonic time in ms of the last write. */
   let writtenAt = startedAt;
   /** Version of the record; undefined after a write with an unknown outcome. */
@@ -68,16 +82,24 @@
         continue;
       }
       version = found.value?.version ?? 0;
-      const stored = JSON.parse(found.value?.value ?? '{}') as object;
-      earlier = new Set(Object.keys(stored));
-      for (const machine of earlier) recorded.set(machine, startedAt);
+      earlier = readEarlier(found.value?.value ?? '{}');
+      for (const [machine, order] of earlier) recorded.set(machine, order);
     }
   }
 
+  function readEarlier(text: string): ReadonlyMap<string, RecordedOrder> {
+    const orders = new Map<string, RecordedOrder>();
+    for (const [machine, mark] of readOrderMarks(text)) {
+      const at = sightings.getSeenAt(machine, mark) ?? startedAt;
+      orders.set(machine, {mark, at: Math.min(at, startedAt)});
+    }
+    return orders;
+  }
+
   function removeOld(): boolean {
     const now = performance.now();
     const sizeBefore = recorded.size;
-    for (const [machine, at] of recorded) {
+    for (const [machine, {at}] of recorded) {
       if (now > at + gapMs) recorded.delete(machine);
     }
     return recorded.size < sizeBefore;
@@ -97,12 +119,8 @@
   async function writeOnce(): Promise<boolean> {
     version ??= await readVersion();
     if (version === undefined || abort.signal.aborted) return false;
-    const now = performance.now();
-    writtenAt = now;
-    const orders = [...recorded].map(([machine, at]) => [
-      machine,
-      Math.round(unixNow() + at - now),
-    ]);
+    writtenAt = performance.now();
+    const marks = [...recorded].map(([machine, {mark}]) => [machine, mark]);
     const result = await store.transact({
       conditions: new Map([
         [LEADER_KEY, fence],
@@ -111,7 +129,7 @@
       puts: [
         {
           key: MACHINE_ORDERS_KEY,
-          value: JSON.stringify(Object.fromEntries(orders)),
+          value: JSON.stringify(Object.fromEntries(marks)),
         },
       ],
       removals: [],
@@ -131,13 +149,17 @@
   return {
     mayOrder(machine) {
       if (!earlier) return false;
-      if (performance.now() > startedAt + gapMs) return true;
-      return !earlier.has(machine);
+      const order = earlier.get(machine);
+      return !order || performance.now() > order.at + gapMs;
     },
     async record(machines) {
       removeOld();
-      const now = performance.now();
-      for (const machine of machines) recorded.set(machine, now);
+      const at = performance.now();
+      for (const machine of machines) {
+        orderCount += 1;
+        const mark = createOrderMark(fence, orderCount, unixNow());
+        recorded.set(machine, {mark, at});
+      }
       return write();
     },
     review() {
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -6,11 +6,13 @@
   LOAD_KEY,
   MachineManager,
   MachineTimes,
+  NO_ORDER_SIGHTINGS,
   WATCHED_PREFIX,
   createCoordinator,
   createIntake,
   createLeadership,
   createMachineManager,
+  createOrderSightings,
 } from '../actors/workflows';
 import {LoadReport} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
@@ -140,12 +142,15 @@
     {...mirrorOptions, decode: entry => configurationKeys.read(entry)},
   );
   const watched = createMirror<unknown>(store, WATCHED_PREFIX, mirrorOptions);
+  const isStrong = processorShare >= MIN_LEADER_PROCESSOR_SHARE;
+  const orderSightings = isStrong
+    ? createOrderSightings(store, WATCH_WAIT_MS, RETRY_MS)
+    : NO_ORDER_SIGHTINGS;
   const leadership = createLeadership({
     store,
     memberId,
     leaseMs: leaderLeaseMs,
-    campaignDelayMs:
-      processorShare < MIN_LEADER_PROCESSOR_SHARE ? WEAK_CANDIDATE_DELAY_MS : 0,
+    campaignDelayMs: isStrong ? 0 : WEAK_CANDIDATE_DELAY_MS,
     log,
     onElected(term) {
       const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
@@ -175,6 +180,7 @@
         machines,
         waves,
         coordinator,
+        orderSightings,
         holder: {holder: `${memberId}/${term.fence}`, fence: term.fence},
         getTermAgeMs: () => term.getAgeMs(),
         getConfiguration: () => latest,
@@ -234,6 +240,7 @@
     async dispose() {
       await leadership.dispose();
       for (const mirror of [configuration, watched]) mirror.dispose();
+      orderSightings.dispose();
     },
   };
 }
