Tell the age of a mirror, and probe the store after a failed watch

Cause: a mirror said whether the last call was answered, but not when the store last confirmed its entries. After a failed call it waited for a change (1.2 s) before it knew that the store answers again. Change: getAgeMs; the first watch after a failure waits for 1 ms only.

--- a/bench/scale/fleet.ts
+++ b/bench/scale/fleet.ts
@@ -257,6 +257,7 @@
     synced: createObservableValue(true),
     connected: createObservableValue(true),
     applyWrite: () => {},
+    getAgeMs: () => 0,
     dispose: () => {},
   };
 }
--- a/features/fleet/model_view.ts
+++ b/features/fleet/model_view.ts
@@ -64,6 +64,7 @@
       else next.set(key, {key, version, value});
       entries.set(next);
     },
+    getAgeMs: () => 0,
     dispose: () => {},
     refresh() {
       const listed = keyValue.list(prefix).entries;
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -12,6 +12,8 @@
   readonly synced: ObservableValue<boolean>;
   /** Whether the last call to the store was answered. */
   readonly connected: ObservableValue<boolean>;
+  /** Returns the time in ms since the store last confirmed the entries. */
+  getAgeMs(): number;
   /**
    * Applies a write that this process made, without waiting for the watch;
    * undefined deletes.
@@ -43,6 +45,11 @@
 }
 
 const WATCH_WAIT_MS = 20_000;
+/**
+ * Wait in ms of the first watch after a failed call; it tells at once whether
+ * the store answers again.
+ */
+const PROBE_WAIT_MS = 1;
 
 /**
  * Creates a mirror of a prefix of the store and starts to follow it.
@@ -78,6 +85,8 @@
    */
   const deletionRevisions = new Map<string, number>();
   let revision = 0;
+  /** Monotonic time in ms at which the store last confirmed the entries. */
+  let confirmedAt = -Infinity;
 
   async function follow(): Promise<void> {
     while (!abort.signal.aborted) {
@@ -92,6 +101,7 @@
   async function list(): Promise<boolean> {
     const listing = await store.list(prefix);
     if (listing.isErr) return false;
+    confirmedAt = performance.now();
     revision = listing.value.revision;
     deletionRevisions.clear();
     const next = new Map<string, MirrorEntry<T>>();
@@ -102,12 +112,17 @@
   }
 
   async function watch(): Promise<boolean> {
-    const seen = await store.watch(prefix, revision, waitMs);
+    const seen = await store.watch(
+      prefix,
+      revision,
+      connected.get() ? waitMs : PROBE_WAIT_MS,
+    );
     if (seen.isErr) return false;
     if (seen.value.compacted || seen.value.revision < revision) {
       synced.set(false);
       return true;
     }
+    confirmedAt = performance.now();
     revision = seen.value.revision;
     if (seen.value.changes.length === 0) return true;
     apply(seen.value.changes);
@@ -156,6 +171,7 @@
     entries,
     synced,
     connected,
+    getAgeMs: () => performance.now() - confirmedAt,
     applyWrite(key, version, value) {
       const known = entries.get().get(key);
       if (known && known.version >= version) return;
