Identify callers by the API keys of their organisations

Cause: Authorization was not read, so unknown and withdrawn keys were served. Change: calls to queues that aren't public need a key where the contract of organisations is in force; the newest known version decides for each call, and none once the store hasn't confirmed it for configApplyMs. Workflows and states name their organisation; others can't read, cancel or repeat them.

--- a/features/platform/translation.steps.ts
+++ b/features/platform/translation.steps.ts
@@ -85,6 +85,8 @@
     stopMs: 400,
     keepStateMs: 120_000,
     graceMs: 6_000,
+    requiresKeys: false,
+    configurationMs: 3_000,
   };
 }
 
--- a/features/workflows/entry_hosts.steps.ts
+++ b/features/workflows/entry_hosts.steps.ts
@@ -2,13 +2,13 @@
 import {Then, When} from '@cucumber/cucumber';
 import {advance, settle} from '../support/paused_clock';
 import {getSubmitted, getWorld} from './running.steps';
-import {QUEUE} from './workflow_world';
+import {ANYBODY, QUEUE} from './workflow_world';
 
 async function readStates(): Promise<readonly (string | undefined)[]> {
   const [{id}] = getSubmitted();
   const states = await Promise.all(
     getWorld().members.map(({entry}) =>
-      settle(entry.intake.readState(QUEUE, id)),
+      settle(entry.intake.readState(QUEUE, id, ANYBODY)),
     ),
   );
   return states.map(state => state.unwrapOr(undefined));
--- a/features/workflows/placement_rules.steps.ts
+++ b/features/workflows/placement_rules.steps.ts
@@ -7,6 +7,7 @@
 import {getSubmitted, getWorld} from './running.steps';
 import {
   ADVISED_QUEUE,
+  ANYBODY,
   OTHER_POOL,
   POOL,
   QUEUE,
@@ -122,7 +123,7 @@
     while (complete < live.length) {
       complete = 0;
       for (const {entry} of live) {
-        const state = await settle(entry.intake.readState(QUEUE, id));
+        const state = await settle(entry.intake.readState(QUEUE, id, ANYBODY));
         if (state.unwrapOr(undefined) !== WorkflowState.Completed) continue;
         complete += 1;
         const done = fleet.events.filter(
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -4,6 +4,7 @@
   WorkflowDraft,
 } from '../../src/actors/workflows';
 import {Store} from '../../src/ports';
+import {indexByKey} from '../../src/decisions/workflows';
 import {RunViolation, checkRuns} from '../../src/history/workflows';
 import {
   FLEET_REGISTRY_PREFIX,
@@ -22,6 +23,7 @@
 import {delay} from '../../src/state';
 import {createLog, LogLevel} from '../../src/telemetry';
 import {
+  Caller,
   MaintenanceWave,
   Organisation,
   Queue,
@@ -82,6 +84,7 @@
     draft: Partial<WorkflowDraft>,
     id?: string,
     queue?: Queue,
+    caller?: Caller,
   ): Promise<Submitted>;
   /** Returns the state of a workflow as a live entry host reports it. */
   readState(id: string): Promise<string | undefined>;
@@ -139,6 +142,9 @@
   advice: {decideMs: 1, eachHostMs: 20, validMs: 5_000},
 };
 
+/** A caller without an organisation. */
+export const ANYBODY: Caller = {organisation: undefined};
+
 /** Version of the configuration that a deployment starts with. */
 export const FIRST_VERSION = 4;
 const CONFIGURATION_KEY = 'operator/configuration';
@@ -269,6 +275,7 @@
               ...stored,
               pools: indexByName(stored.pools),
               organisations: indexByName(stored.organisations),
+              organisationsByKey: indexByKey(stored.organisations),
             };
           },
         },
@@ -312,7 +319,7 @@
       member.cutFromHosts = true;
     },
     getLeader,
-    async submit(member, draft, givenId, queue = QUEUE) {
+    async submit(member, draft, givenId, queue = QUEUE, caller = ANYBODY) {
       submissionCount += 1;
       const id = givenId ?? submissionCount.toString(16).padStart(16, '0');
       const fullDraft: WorkflowDraft = {
@@ -327,6 +334,7 @@
       workflows.set(id, {
         id,
         queue: queue.name,
+        organisation: caller.organisation?.name,
         pool: queue.pool,
         priority: queue.priority,
         maxAttempts: queue.maxAttempts,
@@ -336,7 +344,7 @@
         ...fullDraft,
       });
       const answer = await settle(
-        member.entry.intake.submit(queue, id, fullDraft),
+        member.entry.intake.submit(queue, id, fullDraft, caller),
       );
       return {id, outcome: answer.outcome};
     },
@@ -344,11 +352,13 @@
       const member = members.find(each => each.alive && !each.faults.down);
       if (!member) return undefined;
       const queue = queues.get(id) ?? QUEUE;
-      const state = await settle(member.entry.intake.readState(queue, id));
+      const state = await settle(
+        member.entry.intake.readState(queue, id, ANYBODY),
+      );
       return state.unwrapOr(undefined);
     },
     async cancel(member, id) {
-      await settle(member.entry.intake.cancel(QUEUE, id));
+      await settle(member.entry.intake.cancel(QUEUE, id, ANYBODY));
       cancelledAt.set(id, performance.now());
     },
     configure,
--- a/src/actors/workflows/index.ts
+++ b/src/actors/workflows/index.ts
@@ -5,6 +5,7 @@
 export * from './coordinator';
 export * from './find_queue';
 export * from './intake';
+export * from './key_check';
 export * from './keys';
 export * from './leadership';
 export * from './machine_manager';
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -2,13 +2,20 @@
 import {
   LoadReport,
   StoredState,
-  isFinal,
   checkAdmission,
+  isFinal,
+  isVisible,
 } from '../../decisions/workflows';
-import {Store, StoreFailure} from '../../ports';
+import {Store, StoreEntry, StoreFailure} from '../../ports';
 import {createAdaptiveTimeout} from '../../state';
 import {Log} from '../../telemetry';
-import {Queue, Step, Workflow, WorkflowState} from '../../types/workflow';
+import {
+  Caller,
+  Queue,
+  Step,
+  Workflow,
+  WorkflowState,
+} from '../../types/workflow';
 import {getCancelKey, getStateKey, getWorkKey} from './keys';
 import {createRecentEntries} from './recent_entries';
 import {createStateReader} from './state_reader';
@@ -21,6 +28,8 @@
   Refused = 'refused',
   /** Not stored and never run: the store is unavailable. */
   Unavailable = 'unavailable',
+  /** Not stored and never run: the id belongs to a workflow of others. */
+  Taken = 'taken',
   /** The workflow may be stored; it is safe to submit the same id again. */
   Unknown = 'unknown',
 }
@@ -54,16 +63,22 @@
 
 /** Handles the workflow requests of callers at one entry host. */
 export interface Intake {
-  submit(queue: Queue, id: string, draft: WorkflowDraft): Promise<SubmitAnswer>;
+  submit(
+    queue: Queue,
+    id: string,
+    draft: WorkflowDraft,
+    caller: Caller,
+  ): Promise<SubmitAnswer>;
   /**
    * Returns the state of a workflow; undefined if the queue has no such
-   * workflow.
+   * workflow that the caller may know of.
    */
   readState(
     queue: Queue,
     id: string,
+    caller: Caller,
   ): Promise<Result<WorkflowState | undefined, StoreFailure>>;
-  cancel(queue: Queue, id: string): Promise<CancelOutcome>;
+  cancel(queue: Queue, id: string, caller: Caller): Promise<CancelOutcome>;
   /**
    * Returns the number of a queue's accepted workflows of which no task has
    * started, as the leader last published it.
@@ -123,6 +138,7 @@
     queue: Queue,
     id: string,
     draft: WorkflowDraft,
+    caller: Caller,
   ): Promise<SubmitAnswer> {
     if (!isConnected()) {
       return {
@@ -133,6 +149,9 @@
     const workflow: Workflow = {
       id,
       queue: queue.name,
+      ...(caller.organisation === undefined
+        ? {}
+        : {organisation: caller.organisation.name}),
       pool: queue.pool,
       priority: queue.priority,
       maxAttempts: queue.maxAttempts,
@@ -145,16 +164,40 @@
     const retryAfterMs = checkAdmission(workflow, getLoad());
     if (retryAfterMs !== undefined && !unknown.has(id)) {
       const known = await store.get(getWorkKey(id));
-      if (known.isOk && known.value) return {outcome: SubmitOutcome.Accepted};
+      if (known.isOk && known.value) {
+        return {outcome: judgeRepetition(known.value, queue, caller)};
+      }
       return {outcome: SubmitOutcome.Refused, retryAfterMs};
     }
-    return create(workflow);
+    return create(workflow, queue, caller);
+  }
+
+  /**
+   * Returns the outcome of a submission whose id exists.
+   *
+   * @param entry stored workflow; undefined if it was removed meanwhile
+   */
+  function judgeRepetition(
+    entry: StoreEntry | undefined,
+    queue: Queue,
+    caller: Caller,
+  ): SubmitOutcome {
+    if (!entry) return SubmitOutcome.Unknown;
+    const workflow = parseWorkflow(entry.value);
+    return workflow && isVisible(workflow, queue, caller)
+      ? SubmitOutcome.Accepted
+      : SubmitOutcome.Taken;
   }
 
-  async function create(workflow: Workflow): Promise<SubmitAnswer> {
-    const {id, queue} = workflow;
+  async function create(
+    workflow: Workflow,
+    queue: Queue,
+    caller: Caller,
+  ): Promise<SubmitAnswer> {
+    const {id, organisation} = workflow;
     const state: StoredState = {
-      queue,
+      queue: queue.name,
+      ...(organisation === undefined ? {} : {organisation}),
       state: WorkflowState.Pending,
       begun: false,
     };
@@ -176,8 +219,9 @@
     }
     if (result.isErr && lost > 0) return {outcome: SubmitOutcome.Unknown};
     if (result.isOk) {
-      // If the key already existed, this is a repeated submission.
-      return {outcome: SubmitOutcome.Accepted};
+      const {applied, found} = result.value;
+      if (applied) return {outcome: SubmitOutcome.Accepted};
+      return {outcome: judgeRepetition(found[0], queue, caller)};
     }
     return {
       outcome: SubmitOutcome.Unavailable,
@@ -188,19 +232,24 @@
   async function readState(
     queue: Queue,
     id: string,
+    caller: Caller,
   ): Promise<Result<WorkflowState | undefined, StoreFailure>> {
     const stored = await states.read(id);
     return stored.map(found => {
-      if (!found || found.queue !== queue.name) return undefined;
+      if (!found || !isVisible(found, queue, caller)) return undefined;
       if (isFinal(found.state)) return found.state;
       return cancelled.has(id) ? WorkflowState.Cancelled : found.state;
     });
   }
 
-  async function cancel(queue: Queue, id: string): Promise<CancelOutcome> {
+  async function cancel(
+    queue: Queue,
+    id: string,
+    caller: Caller,
+  ): Promise<CancelOutcome> {
     const stored = await states.read(id);
     if (stored.isErr) return CancelOutcome.Unavailable;
-    if (!stored.value || stored.value.queue !== queue.name) {
+    if (!stored.value || !isVisible(stored.value, queue, caller)) {
       return CancelOutcome.NotFound;
     }
     if (isFinal(stored.value.state)) return CancelOutcome.Cancelled;
@@ -220,8 +269,8 @@
   }
 
   return {
-    async submit(queue, id, draft) {
-      let answer = await submit(queue, id, draft);
+    async submit(queue, id, draft, caller) {
+      let answer = await submit(queue, id, draft, caller);
       if (answer.outcome === SubmitOutcome.Unknown) unknown.set(id, true);
       if (answer.outcome === SubmitOutcome.Unavailable && unknown.has(id)) {
         answer = {...answer, outcome: SubmitOutcome.Unknown};
@@ -231,17 +280,27 @@
         decision: 'accept',
         outcome: answer.outcome,
         queue: queue.name,
+        organisation: caller.organisation?.name,
         pool: queue.pool,
         retryAfterMs: answer.retryAfterMs,
       });
       return answer;
     },
     readState,
-    async cancel(queue, id) {
-      const outcome = await cancel(queue, id);
+    async cancel(queue, id, caller) {
+      const outcome = await cancel(queue, id, caller);
       log.info('cancellation', {request: id, decision: 'cancel', outcome});
       return outcome;
     },
     countWaiting: queue => getLoad()?.waiting?.[queue] ?? 0,
   };
 }
+
+/** Returns undefined if the value is not a workflow. */
+function parseWorkflow(value: string): Workflow | undefined {
+  try {
+    return (JSON.parse(value) as Workflow | null) ?? undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/actors/workflows/key_check.ts
@@ -0,0 +1,99 @@
+import {Result} from 'true-myth';
+import {KeyRefusal, identifyCaller} from '../../decisions/workflows';
+import {Log} from '../../telemetry';
+import {Caller, FleetConfiguration, Queue} from '../../types/workflow';
+
+/** Identifies the callers of an entry host by their API keys. */
+export interface KeyCheck {
+  /**
+   * Identifies the caller of a queue.
+   *
+   * @param call the call, and a function that reads its key
+   */
+  identify(call: KeyedCall): Result<Caller, KeyRefusal>;
+}
+
+/** A call whose key is checked. */
+export interface KeyedCall {
+  readonly queue: Queue;
+  /** The newest configuration that this entry host knows. */
+  readonly configuration: FleetConfiguration;
+  /** Id of the workflow that is called; undefined if it is not a valid id. */
+  readonly id: string | undefined;
+  readonly readKey: () => Result<string, KeyRefusal>;
+}
+
+/** Dependencies of a key check. */
+export interface KeyCheckOptions {
+  /** Returns the time in ms since the store last confirmed the configuration. */
+  readonly getConfigurationAgeMs: () => number;
+  /** Age in ms above which the configuration identifies nobody. */
+  readonly maxConfigurationAgeMs: number;
+  /** Called with the cause of each refusal. */
+  readonly onRefusal: (cause: KeyRefusal) => void;
+  readonly log: Log;
+}
+
+/** Maximum number of log lines about refused keys in a period. */
+const MAX_LINES = 10;
+const LINE_PERIOD_MS = 1_000;
+
+/**
+ * Creates a key check.
+ *
+ * Refusals are logged at a bounded rate, since anybody can cause them, and
+ * neither keys nor their digests are logged.
+ *
+ * @param options the configuration's age, its limit, and the log
+ */
+export function createKeyCheck({
+  getConfigurationAgeMs,
+  maxConfigurationAgeMs,
+  onRefusal,
+  log,
+}: KeyCheckOptions): KeyCheck {
+  let periodStart = -Infinity;
+  let lines = 0;
+  let omitted = 0;
+
+  function logRefusal(cause: KeyRefusal, call: KeyedCall, ageMs: number): void {
+    const now = performance.now();
+    if (now - periodStart >= LINE_PERIOD_MS) {
+      periodStart = now;
+      lines = 0;
+    }
+    if (lines >= MAX_LINES) {
+      omitted += 1;
+      return;
+    }
+    lines += 1;
+    log.info('key', {
+      request: call.id,
+      decision: 'refuse',
+      cause,
+      queue: call.queue.name,
+      version: call.configuration.version,
+      configurationAgeMs: Math.round(ageMs),
+      omitted,
+    });
+    omitted = 0;
+  }
+
+  return {
+    identify(call) {
+      const configurationAgeMs = getConfigurationAgeMs();
+      const caller = identifyCaller({
+        queue: call.queue,
+        configuration: call.configuration,
+        configurationAgeMs,
+        maxConfigurationAgeMs,
+        readKey: call.readKey,
+      });
+      if (caller.isErr) {
+        onRefusal(caller.error);
+        logRefusal(caller.error, call, configurationAgeMs);
+      }
+      return caller;
+    },
+  };
+}
--- a/src/decisions/workflows/encode_progress.ts
+++ b/src/decisions/workflows/encode_progress.ts
@@ -12,6 +12,9 @@
 }: WorkflowRecord): StoredState {
   return {
     queue: workflow.queue,
+    ...(workflow.organisation === undefined
+      ? {}
+      : {organisation: workflow.organisation}),
     state,
     begun,
     ...(endedAt === 0 ? {} : {endedAt}),
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -1,13 +1,17 @@
 /** State of workflows at their leader, and pure scheduling decisions. */
 export * from './admission';
+export * from './api_keys';
 export * from './candidate_order';
 export * from './demand_forecast';
 export * from './encode_progress';
 export * from './host_crash';
 export * from './host_health';
 export * from './host_room';
+export * from './identify_caller';
+export * from './key_refusal';
 export * from './machine_view';
 export * from './order_workflows';
+export * from './ownership';
 export * from './pace_fillers';
 export * from './place_tasks';
 export * from './placement';
--- a/src/decisions/workflows/stored_state.ts
+++ b/src/decisions/workflows/stored_state.ts
@@ -6,6 +6,8 @@
  */
 export interface StoredState {
   readonly queue: string;
+  /** Name of the organisation that submitted it; absent if there is none. */
+  readonly organisation?: string;
   readonly state: WorkflowState;
   /** Whether a host has confirmed the start of a task. */
   readonly begun: boolean;
--- a/src/telemetry/workflow_meter.ts
+++ b/src/telemetry/workflow_meter.ts
@@ -8,6 +8,8 @@
 export interface WorkflowMeter {
   /** Records the duration of a call in ms, by target, kind and outcome. */
   observeCall(target: string, call: string, outcome: string, ms: number): void;
+  /** Counts a call that was turned away because of its API key. */
+  countKeyRefusal(cause: string): void;
   /**
    * Wraps a log so that its lines are counted by message, decision and outcome,
    * except debug lines.
@@ -56,6 +58,12 @@
     labelNames: ['subject', 'decision', 'outcome'],
     registers,
   });
+  const keyRefusals = new Counter({
+    name: 'sesamefront_key_refusals_total',
+    help: 'Calls turned away because of their API key, by cause.',
+    labelNames: ['cause'],
+    registers,
+  });
   const gauges = {
     waitingTasks: createGauge(
       'waiting_tasks',
@@ -89,6 +97,7 @@
   return {
     observeCall: (target, call, outcome, ms) =>
       calls.observe({target, call, outcome}, ms / 1_000),
+    countKeyRefusal: cause => keyRefusals.inc({cause}),
     countLines: log => ({
       debug: (message, fields) => log.debug(message, fields),
       info(message, fields) {
--- a/src/types/workflow/fleet_configuration.ts
+++ b/src/types/workflow/fleet_configuration.ts
@@ -11,4 +11,6 @@
   readonly pools: ReadonlyMap<string, Pool>;
   /** Organisations by name; empty if callers need no key. */
   readonly organisations: ReadonlyMap<string, Organisation>;
+  /** Organisations by the digests of their keys. */
+  readonly organisationsByKey: ReadonlyMap<string, Organisation>;
 }
--- a/src/types/workflow/index.ts
+++ b/src/types/workflow/index.ts
@@ -3,6 +3,7 @@
  * run.
  */
 export * from './advice_times';
+export * from './caller';
 export * from './capacity';
 export * from './fleet_configuration';
 export * from './machine';
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -69,6 +69,8 @@
    * read.
    */
   getConfiguration(): FleetConfiguration | undefined;
+  /** Returns the time in ms since the store last confirmed the configuration. */
+  getConfigurationAgeMs(): number;
   /** Whether callers can be served. */
   isReady(): boolean;
   /**
@@ -200,6 +202,8 @@
         decision: 'in force',
         version: value.version,
         queues: value.queues.length,
+        organisations: value.organisations.size,
+        keys: value.organisationsByKey.size,
       });
     }
   });
@@ -228,6 +232,7 @@
   return {
     intake,
     getConfiguration: () => latest,
+    getConfigurationAgeMs: () => configuration.getAgeMs(),
     isReady: () =>
       latest !== undefined && watched.synced.get() && watched.connected.get(),
     readPools: () => coordinator?.readPools() ?? [],
