Hold what each organisation has running to its cap

Placement knew no owner of work, so an organisation could have more running than it may.

The host sessions now count the runs that their hosts may be executing: from placement until the end is reported, the start is refused or the lease has certainly expired. That includes unanswered and late orders, runs being stopped and runs of workflows that have ended. The start limit of each pass adds what the pass has placed and selects only tasks that fit the cap, for all three resources and all pools. Without a configuration nothing of an organisation starts.

The next leader lost two kinds of runs: those of an ended workflow, whose progress was deleted at once, and members of a gang that another's end had completed. The progress now stays until the last run has ended.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -5,6 +5,7 @@
   TaskRecord,
   WorkflowRecord,
   createDemandForecast,
+  createOrganisationUsage,
   createRunTimes,
   createWorkflowRecord,
   forEachTask,
@@ -89,8 +90,12 @@
   readonly times: CoordinatorTimes;
   /** Mirror of the host registry. */
   readonly registry: Mirror<TaskHost>;
-  /** Returns the configured organisations by name. */
-  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /**
+   * Returns the configured organisations by name; undefined if no configuration
+   * was read yet.
+   */
+  readonly getOrganisations: () =>
+    ReadonlyMap<string, Organisation> | undefined;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -131,6 +136,7 @@
   const records = new Map<string, WorkflowRecord>();
   const runTimes = createRunTimes();
   const forecast = createDemandForecast();
+  const usage = createOrganisationUsage();
   const abort = new AbortController();
   const disposers: (() => void)[] = [];
   const sessions = createHostSessions(registry, openSession, usable =>
@@ -146,6 +152,7 @@
     tickets,
     runTimes,
     getOrganisations,
+    usage,
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
@@ -274,6 +281,7 @@
       earlierLeaseMs: Math.max(0, earlierLeasesUntil - performance.now()),
       stopMs: times.stopMs,
       mayExtend: () => term.getAgeMs() < times.authorityMs,
+      usage,
       log,
       onBegun: markBegun,
       onEnd: handleEnd,
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  OrganisationUsage,
   Placement,
   TaskRecord,
   releaseRoom,
@@ -89,6 +90,8 @@
    * recently enough.
    */
   readonly mayExtend: () => boolean;
+  /** Counts the runs that the host may execute. */
+  readonly usage: OrganisationUsage;
   readonly log: Log;
   /**
    * Called when the host has confirmed that a run started; may be called
@@ -162,6 +165,7 @@
   earlierLeaseMs,
   stopMs,
   mayExtend,
+  usage,
   log,
   onBegun,
   onEnd,
@@ -452,10 +456,17 @@
 
   function release(task: TaskRecord): void {
     if (!tasks.delete(task.name)) return;
+    usage.remove(task);
     room.starting.delete(task);
     releaseRoom(room, task.step, task.group);
   }
 
+  function track(task: TaskRecord): void {
+    if (tasks.has(task.name)) return;
+    tasks.set(task.name, task);
+    usage.add(task);
+  }
+
   function isCurrent(task: TaskRecord, placement: Placement): boolean {
     return (
       !abort.signal.aborted &&
@@ -512,12 +523,12 @@
       return bornAt;
     },
     adopt(task) {
-      tasks.set(task.name, task);
+      track(task);
       reserveRoom(room, task.step, task.group);
       room.starting.add(task);
       void hold();
     },
-    add: task => void tasks.set(task.name, task),
+    add: track,
     start(task, ticket) {
       const {placement} = task;
       if (!placement || !isCurrent(task, placement)) return;
--- a/src/actors/workflows/ledger.ts
+++ b/src/actors/workflows/ledger.ts
@@ -3,6 +3,7 @@
   WorkflowRecord,
   encodeProgress,
   encodeState,
+  hasPlacedTask,
   isFinal,
 } from '../../decisions/workflows';
 import {Store, StoreEntry, StoreFailure, StorePut} from '../../ports';
@@ -50,7 +51,7 @@
 interface StoredTexts {
   readonly version: number;
   readonly state: string;
-  /** Undefined once the workflow has ended. */
+  /** Undefined once the workflow and all of its runs have ended. */
   readonly progress: string | undefined;
 }
 
@@ -233,8 +234,10 @@
   return {
     version: record.version,
     state: JSON.stringify(encodeState(record)),
-    progress: isFinal(record.state)
-      ? undefined
-      : JSON.stringify(encodeProgress(record)),
+    // Runs of an ended workflow count for its organisation until they stop.
+    progress:
+      isFinal(record.state) && !hasPlacedTask(record)
+        ? undefined
+        : JSON.stringify(encodeProgress(record)),
   };
 }
--- a/src/actors/workflows/retention.ts
+++ b/src/actors/workflows/retention.ts
@@ -1,4 +1,8 @@
-import {WorkflowRecord, forEachTask, isFinal} from '../../decisions/workflows';
+import {
+  WorkflowRecord,
+  hasPlacedTask,
+  isFinal,
+} from '../../decisions/workflows';
 import {getCancelKey, getStateKey, getWorkKey} from './keys';
 
 /** Deletes workflows whose retention period has passed. */
@@ -54,9 +58,7 @@
     endedSince.set(id, since);
     if (now < since + keepStateMs + MARGIN_MS) return false;
     if (record.storedVersion < record.version) return false;
-    let busy = false;
-    forEachTask(record, task => (busy ||= task.placement !== undefined));
-    return !busy;
+    return !hasPlacedTask(record);
   }
 
   return {
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  OrganisationUsage,
   PlacedTask,
   PlacementCandidate,
   PlacementPass,
@@ -45,8 +46,14 @@
   readonly sessions: HostSessions;
   readonly tickets: TicketCache;
   readonly runTimes: RunTimes;
-  /** Returns the configured organisations by name. */
-  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /**
+   * Returns the configured organisations by name; undefined if no configuration
+   * was read yet.
+   */
+  readonly getOrganisations: () =>
+    ReadonlyMap<string, Organisation> | undefined;
+  /** What may be running of each organisation. */
+  readonly usage: OrganisationUsage;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -65,6 +72,7 @@
   tickets,
   runTimes,
   getOrganisations,
+  usage,
   store,
   unixNow,
   log,
@@ -106,7 +114,7 @@
   function placePool(pass: PlacementPass): void {
     const {rooms} = pass;
     const order = createCandidateOrder(pass);
-    const limit = createStartLimit();
+    const limit = createStartLimit({organisations: getOrganisations(), usage});
     const reservations = createReservations();
     const unplaceable = createUnplaceableSizes();
 
@@ -125,6 +133,7 @@
         room => isAdvised(room) && reservations.mayUse(waiting[0], room),
         unplaceable,
       );
+      limit.take(placed.map(({task}) => task));
       if (gang && placed.length > 0) alignRuns(placed);
       if (placed.length < waiting.length) {
         requestTickets(workflow, waiting, rooms);
@@ -211,7 +220,7 @@
           rooms: usable.map(session => session.room),
           candidates,
           runTimes,
-          organisations: getOrganisations(),
+          organisations: getOrganisations() ?? new Map(),
         });
       }
     },
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -102,6 +102,14 @@
   for (const group of record.groups.values()) group.forEach(visit);
 }
 
+/** Returns whether a host may be executing a run of the workflow. */
+export function hasPlacedTask({groups}: WorkflowRecord): boolean {
+  for (const group of groups.values()) {
+    if (group.some(task => task.placement !== undefined)) return true;
+  }
+  return false;
+}
+
 /**
  * Returns the Unix time in ms at which an occurrence is due; 0 if it is due
  * immediately.
@@ -228,11 +236,12 @@
   task.crashes = stored.crashes?.[task.index] ?? 0;
   task.checkpoint = stored.checkpoints?.[task.index] ?? '';
   const place = stored.placements?.[task.index];
-  if (stored.done.includes(task.index)) task.phase = TaskPhase.Done;
-  else if (place) {
+  if (place) {
     task.phase = TaskPhase.Placed;
     task.placement = restorePlacement(place, task.run, now);
   }
+  // A gang's tasks are done before the hosts of all members report their ends.
+  if (stored.done.includes(task.index)) task.phase = TaskPhase.Done;
 }
 
 function restorePlacement(place: string, run: number, now: number): Placement {
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -165,7 +165,7 @@
         term,
         times,
         registry,
-        getOrganisations: () => latest?.organisations ?? new Map(),
+        getOrganisations: () => latest?.organisations,
         unixNow,
         log,
         onFenced: cause => leadership.resign(cause),
