Share a full pool among organisations by weight

One order by urgency let a caller that sends many times its usual take the room of all others.

Candidates of organisations are now placed by class: what is within the organisation's rate before what is beyond it, and work that can still have value before work that cannot. Within a class organisations below their weighted share of their dominant resource come first, by urgency, and the others by what they use (weighted max-min). Only what is running counts, so a quiet caller has its turn at once. The leader counts accepted submissions against the weight, with 5 s of credit at most. Work without an organisation and lasting tasks stay in front, and without organisations the order is by urgency as before.

With organisations, the expected time of a step that is wider than its cap or than a quarter of the pool is that of its waves.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -7,6 +7,7 @@
   createDemandForecast,
   createOrganisationUsage,
   createRunTimes,
+  createSubmissionRates,
   createWorkflowRecord,
   forEachTask,
   isFinal,
@@ -137,6 +138,7 @@
   const runTimes = createRunTimes();
   const forecast = createDemandForecast();
   const usage = createOrganisationUsage();
+  const rates = createSubmissionRates();
   const abort = new AbortController();
   const disposers: (() => void)[] = [];
   const sessions = createHostSessions(registry, openSession, usable =>
@@ -246,7 +248,16 @@
       acceptedAt,
     );
     records.set(id, record);
-    if (ready) forecastWork(workflow);
+    if (!ready) return;
+    countSubmission(record);
+    forecastWork(workflow);
+  }
+
+  function countSubmission(record: WorkflowRecord): void {
+    const {organisation: name = ''} = record.workflow;
+    const organisation = getOrganisations()?.get(name);
+    if (!organisation) return;
+    record.isExtra = !rates.count(organisation, record.acceptedAt);
   }
 
   function forecastWork({queue, pool, steps, firstAt}: Workflow): void {
@@ -265,6 +276,9 @@
   function takeOver(count: number): void {
     ready = true;
     readRegistry();
+    [...records.values()]
+      .sort((a, b) => a.acceptedAt - b.acceptedAt)
+      .forEach(countSubmission);
     for (const record of records.values()) {
       forEachTask(record, task => sessions.adopt(task));
       if (isFinal(record.state)) stopAll(record, 'workflow already ended');
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  NO_CAPACITY,
   OrganisationUsage,
   PlacedTask,
   PlacementCandidate,
@@ -7,7 +8,10 @@
   RunTimes,
   TaskPhase,
   TaskRecord,
+  WaveLimits,
   WorkflowRecord,
+  addTasks,
+  countWaves,
   createCandidateOrder,
   createPlacement,
   createReservations,
@@ -23,6 +27,7 @@
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {
+  Capacity,
   Organisation,
   Step,
   Workflow,
@@ -80,12 +85,15 @@
   function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
     const byPool = new Map<string, PlacementCandidate[]>();
+    const capacities = measurePools();
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
       const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
-      const expect = (step: Step) => runTimes.estimate(workflow.queue, step);
+      const waveLimits = getWaveLimits(workflow, capacities);
+      const expect = (step: Step) =>
+        runTimes.estimate(workflow.queue, step) * countWaves(step, waveLimits);
       const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
       const occurrence = getFirstUnfinishedOccurrence(record);
       const remainingSteps = workflow.steps.map((step, index) =>
@@ -111,6 +119,30 @@
     return byPool;
   }
 
+  /**
+   * Returns what limits the width of a workflow's steps; nothing without
+   * organisations.
+   */
+  function getWaveLimits(
+    {organisation = '', pool}: Workflow,
+    capacities: ReadonlyMap<string, Capacity>,
+  ): WaveLimits {
+    const cap = getOrganisations()?.get(organisation)?.cap;
+    return {room: capacities.get(pool), cap};
+  }
+
+  /** Returns the capacity of each pool if there are organisations. */
+  function measurePools(): ReadonlyMap<string, Capacity> {
+    const capacities = new Map<string, Capacity>();
+    if (!getOrganisations()?.size) return capacities;
+    for (const {room} of sessions.all.values()) {
+      const {pool, capacity} = room.host;
+      const before = capacities.get(pool) ?? NO_CAPACITY;
+      capacities.set(pool, addTasks(before, capacity, 1));
+    }
+    return capacities;
+  }
+
   function placePool(pass: PlacementPass): void {
     const {rooms} = pass;
     const order = createCandidateOrder(pass);
@@ -221,6 +253,7 @@
           candidates,
           runTimes,
           organisations: getOrganisations() ?? new Map(),
+          usage,
         });
       }
     },
--- a/src/decisions/workflows/organisation_usage.ts
+++ b/src/decisions/workflows/organisation_usage.ts
@@ -12,30 +12,52 @@
   remove(task: TaskRecord): void;
   /** Returns the capacity that an organisation uses on all hosts. */
   get(organisation: string): Capacity;
+  /** Returns the capacity that an organisation's work of one pool uses. */
+  getInPool(pool: string, organisation: string): Capacity;
 }
 
-const NOTHING: Capacity = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+/** No capacity at all. */
+export const NO_CAPACITY: Capacity = {
+  cpuMillis: 0,
+  memoryMb: 0,
+  accelerators: 0,
+};
 
 /** Creates the usage of a term, in which nothing is running. */
 export function createOrganisationUsage(): OrganisationUsage {
-  const used = new Map<string, Capacity>();
+  const total = new Map<string, Capacity>();
+  const byPool = new Map<string, Map<string, Capacity>>();
 
   function change({workflow, step}: TaskRecord, count: number): void {
-    const {organisation} = workflow;
+    const {organisation, pool} = workflow;
     if (organisation === undefined) return;
-    const next = addTasks(used.get(organisation) ?? NOTHING, step, count);
-    if (next.cpuMillis + next.memoryMb + next.accelerators === 0) {
-      used.delete(organisation);
-    } else used.set(organisation, next);
+    changeEntry(total, organisation, step, count);
+    let inPool = byPool.get(pool);
+    if (!inPool) byPool.set(pool, (inPool = new Map()));
+    changeEntry(inPool, organisation, step, count);
   }
 
   return {
     add: task => change(task, 1),
     remove: task => change(task, -1),
-    get: organisation => used.get(organisation) ?? NOTHING,
+    get: organisation => total.get(organisation) ?? NO_CAPACITY,
+    getInPool: (pool, organisation) =>
+      byPool.get(pool)?.get(organisation) ?? NO_CAPACITY,
   };
 }
 
+function changeEntry(
+  used: Map<string, Capacity>,
+  organisation: string,
+  size: Capacity,
+  count: number,
+): void {
+  const next = addTasks(used.get(organisation) ?? NO_CAPACITY, size, count);
+  if (next.cpuMillis + next.memoryMb + next.accelerators === 0) {
+    used.delete(organisation);
+  } else used.set(organisation, next);
+}
+
 /** Returns a capacity increased by that of a number of tasks of one size. */
 export function addTasks(
   used: Capacity,
--- a/src/decisions/workflows/placement_pass.ts
+++ b/src/decisions/workflows/placement_pass.ts
@@ -1,6 +1,7 @@
 import {Organisation} from '../../types/workflow';
 import {HostRoom} from './host_room';
 import {Urgency} from './order_workflows';
+import {OrganisationUsage} from './organisation_usage';
 import {RunTimes} from './run_times';
 import {TaskRecord} from './task_record';
 import {WorkflowRecord} from './workflow_record';
@@ -24,4 +25,6 @@
   readonly runTimes: RunTimes;
   /** Configured organisations by name. */
   readonly organisations: ReadonlyMap<string, Organisation>;
+  /** What may be running of each organisation. */
+  readonly usage: OrganisationUsage;
 }
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -14,6 +14,8 @@
   readonly acceptedAt: number;
   /** Unix time in ms of the end; 0 before. */
   endedAt: number;
+  /** Whether it was submitted beyond the rate of its organisation. */
+  isExtra: boolean;
   /** Tasks by `occurrence.step`, created on first access. */
   readonly groups: Map<string, TaskRecord[]>;
   /** Incremented by each change that has to be stored. */
@@ -63,6 +65,7 @@
     begun: stored?.begun ?? false,
     acceptedAt,
     endedAt: stored?.endedAt ?? 0,
+    isExtra: false,
     groups: new Map(),
     version: 0,
     storedVersion: 0,
