Refuse each organisation for its own backlog and rate

Entry hosts refused by the drain time of the pool alone, so a small caller was refused for a large one's backlog.

The leader's report names, for each pool, the organisations that have to wait: the time in which their own accepted work is done with their share and within their cap, and the time until they are within their rate again. Entry hosts refuse from these numbers only, with the time to come back, and log them. All entry hosts read the same report, so it does not matter where a caller's connections end.

Found on the way and mended: a pool whose work was done vanished from the report without a new one, and a new leader with little work did not replace the report of the last, so callers were refused for work that was gone. The first report of a term is now always written, reports of busy pools are repeated every 2 s, and a report older than 6 s refuses nobody.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -165,12 +165,15 @@
     keys => ledger?.remove(keys),
     unixNow,
   );
-  const load = createLoadReporter(
+  const load = createLoadReporter({
     records,
     getPoolCpuMillis,
     runTimes,
-    publishLoad,
-  );
+    rates,
+    getOrganisations,
+    publish: publishLoad,
+    unixNow,
+  });
   let ledger: Ledger | undefined;
   let ready = false;
   let placementScheduled = false;
@@ -215,7 +218,7 @@
       schedulePlacement();
       pacing.review();
       hostHealth.review();
-      void load.review();
+      if (ready) void load.review();
     }, REVIEW_INTERVAL_MS);
     const clean = setInterval(() => retention.review(), CLEANUP_INTERVAL_MS);
     disposers.push(() => clearInterval(review));
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -78,6 +78,8 @@
   readonly isConnected: () => boolean;
   /** Returns the leader's last report; undefined if none was received. */
   readonly getLoad: () => LoadReport | undefined;
+  /** Returns the time in ms since that report was received. */
+  readonly getLoadAgeMs: () => number;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -106,6 +108,7 @@
   store,
   isConnected,
   getLoad,
+  getLoadAgeMs,
   unixNow,
   log,
 }: IntakeOptions): Intake {
@@ -142,10 +145,19 @@
       acceptedAt: unixNow(),
       ...draft,
     };
-    const retryAfterMs = checkAdmission(workflow, getLoad());
-    if (retryAfterMs !== undefined && !unknown.has(id)) {
+    const refusal = checkAdmission(workflow, getLoad(), getLoadAgeMs());
+    if (refusal && !unknown.has(id)) {
       const known = await store.get(getWorkKey(id));
       if (known.isOk && known.value) return {outcome: SubmitOutcome.Accepted};
+      log.info('refusal', {
+        request: id,
+        decision: 'refuse',
+        queue: queue.name,
+        pool: queue.pool,
+        organisation: workflow.organisation,
+        ...refusal,
+      });
+      const {retryAfterMs} = refusal;
       return {outcome: SubmitOutcome.Refused, retryAfterMs};
     }
     return create(workflow);
--- a/src/actors/workflows/load_reporter.ts
+++ b/src/actors/workflows/load_reporter.ts
@@ -1,15 +1,21 @@
 import {
+  BUSY_MS,
   LoadReport,
+  OrganisationLoad,
   PoolLoad,
   RunTimes,
+  SubmissionRates,
   TaskPhase,
   WorkflowRecord,
+  getDrainTimes,
   isFinal,
 } from '../../decisions/workflows';
+import {Organisation} from '../../types/workflow';
+import {isReportDue} from './load_report_change';
 
 /**
- * Publishes how long each pool needs to complete its accepted workflows, and
- * how many of each queue wait, for the entry hosts.
+ * Publishes how long each pool needs to complete its accepted workflows, also
+ * by organisation, and how many of each queue wait, for the entry hosts.
  */
 export interface LoadReporter {
   /**
@@ -18,61 +24,118 @@
   review(): Promise<void>;
 }
 
-/** Minimum change of a pool's drain time, in ms, that triggers a new report. */
-const MIN_DRAIN_CHANGE_MS = 500;
-/**
- * Minimum time in ms between two reports that differ only in the numbers of
- * waiting workflows; callers accept numbers that are 2 s old.
- */
-const WAITING_INTERVAL_MS = 1_000;
+/** Dependencies of a load reporter. */
+export interface LoadReporterOptions {
+  /** Workflows by id. */
+  readonly records: ReadonlyMap<string, WorkflowRecord>;
+  /**
+   * Returns the thousandths of a processor that a pool has or could have.
+   */
+  readonly getPoolCpuMillis: (pool: string) => number;
+  readonly runTimes: RunTimes;
+  readonly rates: SubmissionRates;
+  /** Returns the configured organisations by name. */
+  readonly getOrganisations: () =>
+    ReadonlyMap<string, Organisation> | undefined;
+  /** Stores a report; resolves to false if it was not stored. */
+  readonly publish: (report: LoadReport) => Promise<boolean>;
+  /** Returns the current Unix time in ms. */
+  readonly unixNow: () => number;
+}
+
+/** Accepted work of one pool, in thousandths of a processor times ms. */
+interface PoolWork {
+  sum: number;
+  readonly byOrganisation: Map<string, number>;
+  readonly runTimeFactors: Record<string, number>;
+}
+
 /** Share of a pool's CPU that placement can use in practice. */
 const USABLE_SHARE = 0.85;
 /** Step for which each queue's run time factor is reported. */
 const REFERENCE_STEP = {image: '', estimateMs: 1_000};
 
 /**
- * Creates the reporter of a term.
+ * Creates the reporter of a term. Its first report replaces that of the earlier
+ * leader.
  *
- * @param records workflows by id
- * @param getPoolCpuMillis thousandths of a processor that a pool has or could
- *     have
- * @param runTimes learned run times
- * @param publish stores a report; resolves to false if it was not stored
+ * @param options the workflows, the pools and the store
  */
-export function createLoadReporter(
-  records: ReadonlyMap<string, WorkflowRecord>,
-  getPoolCpuMillis: (pool: string) => number,
-  runTimes: RunTimes,
-  publish: (report: LoadReport) => Promise<boolean>,
-): LoadReporter {
-  let published: LoadReport = {pools: {}};
+export function createLoadReporter({
+  records,
+  getPoolCpuMillis,
+  runTimes,
+  rates,
+  getOrganisations,
+  publish,
+  unixNow,
+}: LoadReporterOptions): LoadReporter {
+  let published: LoadReport | undefined;
   let publishedAt = -Infinity;
   let publishing = false;
 
   function measure(): LoadReport {
-    const work = new Map<string, number>();
-    const factors = new Map<string, Record<string, number>>();
+    const works = new Map<string, PoolWork>();
     const waiting: Record<string, number> = {};
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
-      const {pool, queue} = record.workflow;
-      const queues = factors.get(pool) ?? {};
-      queues[queue] =
-        runTimes.estimate(queue, REFERENCE_STEP) / REFERENCE_STEP.estimateMs;
-      factors.set(pool, queues);
-      work.set(pool, (work.get(pool) ?? 0) + measureWork(record));
+      const {queue} = record.workflow;
+      addWork(works, record);
       if (!record.begun) waiting[queue] = (waiting[queue] ?? 0) + 1;
     }
     const pools: Record<string, PoolLoad> = {};
-    for (const [pool, sum] of work) {
-      const drainMs = Math.round(
-        sum / Math.max(1, getPoolCpuMillis(pool) * USABLE_SHARE),
-      );
-      pools[pool] = {drainMs, runTimeFactors: factors.get(pool) ?? {}};
-    }
+    for (const [pool, work] of works) pools[pool] = measurePool(pool, work);
     return {pools, waiting};
   }
 
+  function addWork(works: Map<string, PoolWork>, record: WorkflowRecord): void {
+    const {pool, queue, organisation} = record.workflow;
+    let work = works.get(pool);
+    if (!work) {
+      work = {sum: 0, byOrganisation: new Map(), runTimeFactors: {}};
+      works.set(pool, work);
+    }
+    work.runTimeFactors[queue] ??=
+      runTimes.estimate(queue, REFERENCE_STEP) / REFERENCE_STEP.estimateMs;
+    const amount = measureWork(record);
+    work.sum += amount;
+    if (organisation === undefined) return;
+    const own = work.byOrganisation.get(organisation) ?? 0;
+    work.byOrganisation.set(organisation, own + amount);
+  }
+
+  function measurePool(
+    pool: string,
+    {sum, byOrganisation, runTimeFactors}: PoolWork,
+  ): PoolLoad {
+    const cpuMillis = Math.max(1, getPoolCpuMillis(pool) * USABLE_SHARE);
+    const drainMs = Math.round(sum / cpuMillis);
+    const configured = getOrganisations();
+    if (!configured || configured.size === 0) return {drainMs, runTimeFactors};
+    const backlogs = [...byOrganisation].map(([name, work]) => ({
+      name,
+      work,
+      weight: configured.get(name)?.weight ?? 0,
+      limit: configured.get(name)?.cap.cpuMillis ?? 0,
+    }));
+    const drains = getDrainTimes(backlogs, cpuMillis);
+    const organisations: Record<string, OrganisationLoad> = {};
+    for (const organisation of configured.values()) {
+      const {name} = organisation;
+      const ownMs = Math.round(drains.get(name) ?? 0);
+      const excessMs =
+        drainMs > BUSY_MS
+          ? Math.ceil(rates.getExcessMs(organisation, unixNow()))
+          : 0;
+      if (ownMs < BUSY_MS && excessMs === 0) continue;
+      organisations[name] = {
+        drainMs: ownMs,
+        ...(excessMs > 0 ? {excessMs} : {}),
+      };
+    }
+    return {drainMs, runTimeFactors, organisations};
+  }
+
   /**
    * Returns a workflow's remaining work, in thousandths of a processor times
    * ms.
@@ -91,30 +154,12 @@
     return sum;
   }
 
-  function isDue(report: LoadReport): boolean {
-    if (hasChangedMuch(report)) return true;
-    if (performance.now() < publishedAt + WAITING_INTERVAL_MS) return false;
-    return hasOtherWaiting(report);
-  }
-
-  function hasOtherWaiting({waiting = {}}: LoadReport): boolean {
-    const before = published.waiting ?? {};
-    const queues = Object.keys({...before, ...waiting});
-    return queues.some(queue => before[queue] !== waiting[queue]);
-  }
-
-  function hasChangedMuch({pools}: LoadReport): boolean {
-    return Object.entries(pools).some(([pool, {drainMs}]) => {
-      const before = published.pools[pool]?.drainMs ?? 0;
-      return Math.abs(drainMs - before) > MIN_DRAIN_CHANGE_MS;
-    });
-  }
-
   return {
     async review() {
       if (publishing) return;
       const report = measure();
-      if (!isDue(report)) return;
+      const ageMs = performance.now() - publishedAt;
+      if (published && !isReportDue(published, report, ageMs)) return;
       publishing = true;
       publishedAt = performance.now();
       if (await publish(report)) published = report;
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -18,6 +18,7 @@
 export * from './reservations';
 export * from './run_times';
 export * from './start_limit';
+export * from './share_drain';
 export * from './step_waves';
 export * from './stored_progress';
 export * from './stored_state';
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -131,6 +131,9 @@
   let latest: FleetConfiguration | undefined;
   let coordinator: Coordinator | undefined;
   let machineManager: MachineManager | undefined;
+  /** Revision of the last load report, and the monotonic time in ms of it. */
+  let loadVersion = 0;
+  let loadSeenAt = 0;
   /** Mirrors that exist only while this entry host is the leader. */
   let leaderMirrors: readonly Mirror<unknown>[] = [];
   const mirrorOptions = {waitMs: WATCH_WAIT_MS, retryMs: RETRY_MS};
@@ -210,6 +213,10 @@
   });
   watched.entries.onChange(entries => {
     leadership.observe(entries.get(LEADER_KEY)?.version ?? 0);
+    const version = entries.get(LOAD_KEY)?.version ?? 0;
+    if (version === loadVersion) return;
+    loadVersion = version;
+    loadSeenAt = performance.now();
   });
   watched.connected.onChange(connected => {
     if (connected) log.info('store regained');
@@ -221,6 +228,7 @@
     isConnected: () => watched.connected.get(),
     getLoad: () =>
       watched.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
+    getLoadAgeMs: () => performance.now() - loadSeenAt,
     unixNow,
     log,
   });
