Submit the second workflow of a scenario once the first is cancelled

The report still named the backlog of the cancelled workflow, so the organisation was refused, which is right since refusals go by its own backlog.

--- a/features/workflows/caps.feature
+++ b/features/workflows/caps.feature
@@ -52,8 +52,8 @@
     And 1 s pass
     And 100 of 100 orders to hosts are carried out 60000 ms late without an answer
     And "acme" cancels its first workflow
-    And "acme" submits a workflow of 6 tasks of 1000 ms
     And 500 ms pass
+    And "acme" submits a workflow of 6 tasks of 1000 ms
     And the leader is killed
     And 0 of 100 orders to hosts are carried out 0 ms late without an answer
     And 3 s pass
