--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -5,7 +5,9 @@
   TaskRecord,
   WorkflowRecord,
   createDemandForecast,
+  createOrganisationUsage,
   createRunTimes,
+  createSubmissionRates,
   createWorkflowRecord,
   forEachTask,
   isFinal,
@@ -89,8 +91,12 @@
   readonly times: CoordinatorTimes;
   /** Mirror of the host registry. */
   readonly registry: Mirror<TaskHost>;
-  /** Returns the configured organisations by name. */
-  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /**
+   * Returns the configured organisations by name; undefined if no configuration
+   * was read yet.
+   */
+  readonly getOrganisations: () =>
+    ReadonlyMap<string, Organisation> | undefined;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -131,6 +137,8 @@
   const records = new Map<string, WorkflowRecord>();
   const runTimes = createRunTimes();
   const forecast = createDemandForecast();
+  const usage = createOrganisationUsage();
+  const rates = createSubmissionRates();
   const abort = new AbortController();
   const disposers: (() => void)[] = [];
   const sessions = createHostSessions(registry, openSession, usable =>
@@ -146,6 +154,7 @@
     tickets,
     runTimes,
     getOrganisations,
+    usage,
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
@@ -156,12 +165,15 @@
     keys => ledger?.remove(keys),
     unixNow,
   );
-  const load = createLoadReporter(
+  const load = createLoadReporter({
     records,
     getPoolCpuMillis,
     runTimes,
-    publishLoad,
-  );
+    rates,
+    getOrganisations,
+    publish: publishLoad,
+    unixNow,
+  });
   let ledger: Ledger | undefined;
   let ready = false;
   let placementScheduled = false;
@@ -206,7 +218,7 @@
       schedulePlacement();
       pacing.review();
       hostHealth.review();
-      void load.review();
+      if (ready) void load.review();
     }, REVIEW_INTERVAL_MS);
     const clean = setInterval(() => retention.review(), CLEANUP_INTERVAL_MS);
     disposers.push(() => clearInterval(review));
@@ -239,7 +251,16 @@
       acceptedAt,
     );
     records.set(id, record);
-    if (ready) forecastWork(workflow);
+    if (!ready) return;
+    countSubmission(record);
+    forecastWork(workflow);
+  }
+
+  function countSubmission(record: WorkflowRecord): void {
+    const {organisation: name = ''} = record.workflow;
+    const organisation = getOrganisations()?.get(name);
+    if (!organisation) return;
+    record.isExtra = !rates.count(organisation, record.acceptedAt);
   }
 
   function forecastWork({queue, pool, steps, firstAt}: Workflow): void {
@@ -258,6 +279,9 @@
   function takeOver(count: number): void {
     ready = true;
     readRegistry();
+    [...records.values()]
+      .sort((a, b) => a.acceptedAt - b.acceptedAt)
+      .forEach(countSubmission);
     for (const record of records.values()) {
       forEachTask(record, task => sessions.adopt(task));
       if (isFinal(record.state)) stopAll(record, 'workflow already ended');
@@ -274,6 +298,7 @@
       earlierLeaseMs: Math.max(0, earlierLeasesUntil - performance.now()),
       stopMs: times.stopMs,
       mayExtend: () => term.getAgeMs() < times.authorityMs,
+      usage,
       log,
       onBegun: markBegun,
       onEnd: handleEnd,
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -93,6 +93,8 @@
   readonly isConnected: () => boolean;
   /** Returns the leader's last report; undefined if none was received. */
   readonly getLoad: () => LoadReport | undefined;
+  /** Returns the time in ms since that report was received. */
+  readonly getLoadAgeMs: () => number;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -121,6 +123,7 @@
   store,
   isConnected,
   getLoad,
+  getLoadAgeMs,
   unixNow,
   log,
 }: IntakeOptions): Intake {
@@ -161,12 +164,21 @@
       acceptedAt: unixNow(),
       ...draft,
     };
-    const retryAfterMs = checkAdmission(workflow, getLoad());
-    if (retryAfterMs !== undefined && !unknown.has(id)) {
+    const refusal = checkAdmission(workflow, getLoad(), getLoadAgeMs());
+    if (refusal && !unknown.has(id)) {
       const known = await store.get(getWorkKey(id));
       if (known.isOk && known.value) {
         return {outcome: judgeRepetition(known.value, queue, caller)};
       }
+      log.info('refusal', {
+        request: id,
+        decision: 'refuse',
+        queue: queue.name,
+        pool: queue.pool,
+        organisation: workflow.organisation,
+        ...refusal,
+      });
+      const {retryAfterMs} = refusal;
       return {outcome: SubmitOutcome.Refused, retryAfterMs};
     }
     return create(workflow, queue, caller);
