--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -6,11 +6,13 @@
   LOAD_KEY,
   MachineManager,
   MachineTimes,
+  NO_ORDER_SIGHTINGS,
   WATCHED_PREFIX,
   createCoordinator,
   createIntake,
   createLeadership,
   createMachineManager,
+  createOrderSightings,
 } from '../actors/workflows';
 import {LoadReport} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
@@ -145,12 +147,15 @@
     {...mirrorOptions, decode: entry => configurationKeys.read(entry)},
   );
   const watched = createMirror<unknown>(store, WATCHED_PREFIX, mirrorOptions);
+  const isStrong = processorShare >= MIN_LEADER_PROCESSOR_SHARE;
+  const orderSightings = isStrong
+    ? createOrderSightings(store, WATCH_WAIT_MS, RETRY_MS)
+    : NO_ORDER_SIGHTINGS;
   const leadership = createLeadership({
     store,
     memberId,
     leaseMs: leaderLeaseMs,
-    campaignDelayMs:
-      processorShare < MIN_LEADER_PROCESSOR_SHARE ? WEAK_CANDIDATE_DELAY_MS : 0,
+    campaignDelayMs: isStrong ? 0 : WEAK_CANDIDATE_DELAY_MS,
     log,
     onElected(term) {
       const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
@@ -180,6 +185,7 @@
         machines,
         waves,
         coordinator,
+        orderSightings,
         holder: {holder: `${memberId}/${term.fence}`, fence: term.fence},
         getTermAgeMs: () => term.getAgeMs(),
         getConfiguration: () => latest,
@@ -247,6 +253,7 @@
     async dispose() {
       await leadership.dispose();
       for (const mirror of [configuration, watched]) mirror.dispose();
+      orderSightings.dispose();
     },
   };
 }
