--- a/features/platform/untrusted.feature
+++ b/features/platform/untrusted.feature
@@ -12,6 +12,8 @@
       | configurations | 2    |
       | waves          | 3    |
       | submissions    | 4    |
+      | organisations  | 5    |
+      | authorizations | 6    |
 
   Scenario Outline: A submission that no leader could hold is refused
     When a submission with the steps <steps> and <count> occurrences is decoded
@@ -45,3 +47,52 @@
       | capacity | "16"   |
       | sequence | "x"    |
       | labels   | 3      |
+
+  # Guards against a limit that is lifted, or a key that works for somebody else, because an entry is invalid.
+  Scenario Outline: An invalid organisation costs only itself
+    Given the organisations "first", "second" and "third" with a key each
+    When the second organisation is <entry>
+    Then the keys of "first" and "third" identify them
+    And the key of the second organisation identifies nobody
+
+    Examples:
+      | entry                                                              |
+      | null                                                               |
+      | 7                                                                  |
+      | "second"                                                           |
+      | []                                                                 |
+      | {"apiKeys":["key-of-second"]}                                      |
+      | {"name":"","apiKeys":["key-of-second"]}                            |
+      | {"name":3,"apiKeys":["key-of-second"]}                             |
+      | {"name":"first","apiKeys":["key-of-second"]}                       |
+      | {"name":"second","apiKeys":"key-of-second"}                        |
+      | {"name":"second","apiKeys":{"0":"key-of-second"}}                  |
+      | {"name":"second","apiKeys":[["key-of-second"],null,""," ",1]}      |
+      | {"name":"second","apiKeys":["key-of-second"],"weight":-1}          |
+      | {"name":"second","apiKeys":["key-of-second"],"weight":"5"}         |
+      | {"name":"second","apiKeys":["key-of-second"],"priority":null}      |
+      | {"name":"second","apiKeys":["key-of-second"],"cap":5}              |
+      | {"name":"second","apiKeys":["key-of-second"],"cap":null}           |
+      | {"name":"second","apiKeys":["key-of-second"],"cap":[1,2,3]}        |
+      | {"name":"second","apiKeys":["key-of-second"],"cap":{"cpu":-1}}     |
+      | {"name":"second","apiKeys":["key-of-second"],"cap":{"memMb":"1"}}  |
+      | {"__proto__":{"name":"second","apiKeys":["key-of-second"]}}        |
+
+  Scenario: A key of two organisations identifies neither, and their other keys work
+    Given the organisations "first", "second" and "third" with a key each
+    When the second organisation is {"name":"__proto__","apiKeys":["key-of-second","key-of-first"]}
+    Then the key "key-of-first" identifies nobody
+    And the key "key-of-second" identifies "__proto__"
+    And the key "key-of-third" identifies "third"
+
+  Scenario: Random organisations beside valid ones
+    When 2000 random lists of organisations with seed 7 are decoded between valid ones
+    Then every key that is configured once in a valid entry identifies its organisation, and no other key does
+
+  Scenario: Random headers identify only who sent one configured key
+    When 5000 random sets of authorization headers with seed 8 are read
+    Then each identifies the organisation of its key if it is one bearer key, and nobody otherwise
+
+  Scenario: A configuration with as many keys as a stored value holds is read
+    When a configuration of 40000 keys is decoded
+    Then every key identifies its organisation
--- a/features/platform/untrusted.steps.ts
+++ b/features/platform/untrusted.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
+import {readBearerKey} from '../../platform/authorization';
 import {readConfiguration} from '../../platform/configuration';
 import {
   REGISTRY_PREFIX,
@@ -16,6 +17,11 @@
   configurations: text => readConfiguration(parseFields(text)),
   waves: text => readWave(parseFields(text)),
   submissions: readDraft,
+  organisations: text => {
+    const {tenants = text} = parseFields(text);
+    return readConfiguration({version: 1, tenants});
+  },
+  authorizations: text => readBearerKey([text]),
 };
 
 /** Field names of the protocol, with which random values get further. */
@@ -36,6 +42,11 @@
   'count',
   'after',
   'repeatCount',
+  'tenants',
+  'name',
+  'apiKeys',
+  'cap',
+  'weight',
   '__proto__',
   'constructor',
 ];
--- a/features/workflows/organisations.feature
+++ b/features/workflows/organisations.feature
@@ -13,7 +13,7 @@
 
   # Guards against a 200 for the work of others, and against work that runs twice.
   @promise-not-run
-  Scenario: An id in use is not accepted from another organisation, also after a new leader and a full pool
+  Scenario: An id in use is not accepted from another organisation, also after a new leader
     Given 3 entry hosts and 4 hosts for workflows
     When "org-a" submits the lasting workflow "00000000000000d1" at every entry host
     And "org-b" submits the lasting workflow "00000000000000d1" at every entry host
@@ -26,6 +26,21 @@
     And the stored workflow and state name "org-a" and hold no key
     And the run history has no violations
 
+  # Guards against a 200 for the work of others while the pool is full.
+  @promise-not-run
+  Scenario: An id in use is not accepted from another organisation while the pool is full
+    Given 3 entry hosts and 4 hosts for workflows
+    When "org-a" submits the lasting workflow "00000000000000d1" at every entry host
+    And the pool is reported as full
+    And "org-b" submits the short workflow "00000000000000d1" at every entry host
+    Then its submissions had the outcomes "taken, taken, taken"
+    When the pool is reported as full
+    And "org-a" submits the short workflow "00000000000000d1" at every entry host
+    Then its submissions had the outcomes "accepted, accepted, accepted"
+    When the pool is reported as full
+    And "org-b" submits the short workflow "00000000000000d3" at every entry host
+    Then its submissions had the outcomes "refused, refused, refused"
+
   Scenario: Workflows stay known when their queue becomes public, or stops being public
     Given 3 entry hosts and 4 hosts for workflows
     When "org-a" submits the lasting workflow "00000000000000d1" at every entry host
@@ -58,3 +73,15 @@
     And 1000 ms pass
     And the store serves "entry-2" again
     Then "entry-2" says of the key "old" throughout 4000 ms: "org-a"
+
+  # Guards against calls that are refused for as long as a watch waits for a change.
+  @failure-store-down
+  Scenario: After an outage without a new version, keys are valid again at once
+    Given 3 entry hosts and 4 hosts for workflows
+    And the operator gives "org-a" the key "old" in version 10
+    When the store turns "entry-2" away
+    And 5000 ms pass
+    Then "entry-2" says of the key "old": "unconfirmed"
+    When the store serves "entry-2" again
+    And 300 ms pass
+    Then "entry-2" says of the key "old": "org-a"
--- a/features/workflows/organisations.steps.ts
+++ b/features/workflows/organisations.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
-import {createKeyCheck} from '../../src/actors/workflows';
+import {LOAD_KEY, createKeyCheck} from '../../src/actors/workflows';
 import {digestKey} from '../../src/decisions/workflows';
 import {LogLevel, createLog} from '../../src/telemetry';
 import {Caller, Organisation} from '../../src/types/workflow';
@@ -9,6 +9,7 @@
 import {getWorld} from './running.steps';
 import {
   ANYBODY,
+  POOL,
   QUEUE,
   TestMember,
   createSpec,
@@ -48,14 +49,14 @@
 }
 
 When(
-  /^(".*"|a caller .*) submits the lasting workflow "(.*)" at every entry host$/,
-  async (name: string, givenId: string) => {
+  /^(".*"|a caller .*) submits the (lasting|short) workflow "(.*)" at every entry host$/,
+  async (name: string, kind: string, givenId: string) => {
     id = givenId;
     outcomes = [];
     for (const member of listLiveMembers()) {
       const {outcome} = await getWorld().submit(
         member,
-        LASTING,
+        kind === 'lasting' ? LASTING : {},
         id,
         QUEUE,
         getCaller(name),
@@ -125,6 +126,15 @@
   },
 );
 
+When('the pool is reported as full', async () => {
+  const {keyValue} = getWorld();
+  const load = {pools: {[POOL]: {drainMs: 600_000, runTimeFactors: {}}}};
+  const expectedVersion = keyValue.get(LOAD_KEY)?.version ?? 0;
+  const value = JSON.stringify(load);
+  keyValue.swap({key: LOAD_KEY, expectedVersion, value});
+  await advance(5);
+});
+
 /** Returns the organisation of a key, or the cause of its refusal. */
 function identify(memberId: string, key: string): string {
   const {entry} = findMember(memberId);
