Show operators who waits for a cap and why a submission was refused

The line of a refused submission names the cause, the drain time and the limit that decided it. A line names an organisation that is held by its cap, once a second, with what it uses. The leader's metrics name the five largest organisations and the five that wait longest, and the sum of the rest.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -1,6 +1,7 @@
 import {
   DemandForecast,
   LoadReport,
+  OrganisationGauge,
   TaskPhase,
   TaskRecord,
   WorkflowRecord,
@@ -12,6 +13,7 @@
   forEachTask,
   isFinal,
   mayStopTask,
+  readOrganisationGauges,
   recordCrash,
 } from '../../decisions/workflows';
 import {Store} from '../../ports';
@@ -53,6 +55,8 @@
   isReady(): boolean;
   /** Returns the waiting and placed tasks and the free CPU of each pool. */
   readPools(): readonly PoolGauge[];
+  /** Returns the load of the largest and the worst served organisations. */
+  readOrganisations(): readonly OrganisationGauge[];
   /**
    * Sets the CPU that each pool could obtain, in thousandths of a processor.
    */
@@ -444,6 +448,7 @@
       return mayStopTask(listMembers(record, task), task, performance.now());
     },
     readPools: () => readPoolGauges(records, sessions),
+    readOrganisations: () => readOrganisationGauges(records, usage, unixNow()),
     setPoolCpuMillis(next) {
       poolCpuMillis = next;
     },
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import {
+  AdmissionRefusal,
   LoadReport,
   StoredState,
   isFinal,
@@ -50,6 +51,8 @@
    * `Unavailable`.
    */
   readonly retryAfterMs?: number;
+  /** What decided a refusal; set if the outcome is `Refused`. */
+  readonly refusal?: AdmissionRefusal;
 }
 
 /** Handles the workflow requests of callers at one entry host. */
@@ -149,16 +152,8 @@
     if (refusal && !unknown.has(id)) {
       const known = await store.get(getWorkKey(id));
       if (known.isOk && known.value) return {outcome: SubmitOutcome.Accepted};
-      log.info('refusal', {
-        request: id,
-        decision: 'refuse',
-        queue: queue.name,
-        pool: queue.pool,
-        organisation: workflow.organisation,
-        ...refusal,
-      });
       const {retryAfterMs} = refusal;
-      return {outcome: SubmitOutcome.Refused, retryAfterMs};
+      return {outcome: SubmitOutcome.Refused, retryAfterMs, refusal};
     }
     return create(workflow);
   }
@@ -245,6 +240,7 @@
         queue: queue.name,
         pool: queue.pool,
         retryAfterMs: answer.retryAfterMs,
+        ...answer.refusal,
       });
       return answer;
     },
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -33,6 +33,7 @@
   Workflow,
   WorkflowState,
 } from '../../types/workflow';
+import {createCapLog} from './cap_log';
 import {HostSessions} from './host_sessions';
 import {TicketCache} from './ticket_cache';
 
@@ -82,6 +83,8 @@
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
+  const capLog = createCapLog(log);
+
   function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
     const byPool = new Map<string, PlacementCandidate[]>();
@@ -146,7 +149,11 @@
   function placePool(pass: PlacementPass): void {
     const {rooms} = pass;
     const order = createCandidateOrder(pass);
-    const limit = createStartLimit({organisations: getOrganisations(), usage});
+    const limit = createStartLimit({
+      organisations: getOrganisations(),
+      usage,
+      onHeld: held => capLog.record(held),
+    });
     const reservations = createReservations();
     const unplaceable = createUnplaceableSizes();
 
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -8,6 +8,7 @@
 export * from './host_room';
 export * from './machine_view';
 export * from './order_workflows';
+export * from './organisation_gauges';
 export * from './organisation_usage';
 export * from './pace_fillers';
 export * from './place_tasks';
--- a/src/decisions/workflows/start_limit.ts
+++ b/src/decisions/workflows/start_limit.ts
@@ -1,4 +1,4 @@
-import {Capacity, Organisation} from '../../types/workflow';
+import {Capacity, Organisation, Step} from '../../types/workflow';
 import {OrganisationUsage, addTasks} from './organisation_usage';
 import {TaskRecord} from './task_record';
 
@@ -13,6 +13,20 @@
   take(placed: readonly TaskRecord[]): void;
 }
 
+/** Tasks of one group that wait for the cap of their organisation. */
+export interface HeldWork {
+  readonly organisation: string;
+  /** Id of their workflow. */
+  readonly request: string;
+  /** Number of tasks that may not start now. */
+  readonly waiting: number;
+  /** Capacity that each of them needs. */
+  readonly size: Capacity;
+  /** What may be running of the organisation. */
+  readonly used: Capacity;
+  readonly cap: Capacity;
+}
+
 /** What a start limit is decided from. */
 export interface StartLimitOptions {
   /**
@@ -22,6 +36,8 @@
   readonly organisations: ReadonlyMap<string, Organisation> | undefined;
   /** What may be running at the start of the pass. */
   readonly usage: Pick<OrganisationUsage, 'get'>;
+  /** Called when tasks have to wait for the cap. */
+  readonly onHeld?: (held: HeldWork) => void;
 }
 
 /**
@@ -45,6 +61,7 @@
 export function createStartLimit({
   organisations,
   usage,
+  onHeld = () => {},
 }: StartLimitOptions): StartLimit {
   /** Usage including the tasks placed during the pass. */
   const used = new Map<string, Capacity>();
@@ -62,11 +79,17 @@
       const cap = organisations.get(workflow.organisation)?.cap;
       if (!cap) return waiting;
       const before = getUsed(workflow.organisation);
-      if (step.gang) {
-        return mayStart(step, waiting.length, before, cap) ? waiting : [];
-      }
       const count = countStartable(step, waiting.length, before, cap);
-      return count === waiting.length ? waiting : waiting.slice(0, count);
+      if (count === waiting.length) return waiting;
+      onHeld({
+        organisation: workflow.organisation,
+        request: workflow.id,
+        waiting: waiting.length - count,
+        size: step,
+        used: before,
+        cap,
+      });
+      return waiting.slice(0, count);
     },
     take(placed) {
       for (const {workflow, step} of placed) {
@@ -78,13 +101,17 @@
   };
 }
 
-/** Returns how many of a number of tasks may start one after the other. */
+/**
+ * Returns how many of a number of tasks may start: of a gang all or none, of
+ * others one after the other.
+ */
 function countStartable(
-  size: Capacity,
+  size: Step,
   limit: number,
   used: Capacity,
   cap: Capacity,
 ): number {
+  if (size.gang) return mayStart(size, limit, used, cap) ? limit : 0;
   let count = 0;
   let total = used;
   while (count < limit && mayStart(size, 1, total, cap)) {
--- a/src/telemetry/workflow_meter.ts
+++ b/src/telemetry/workflow_meter.ts
@@ -18,6 +18,11 @@
    * scrape.
    */
   setPoolReader(reader: () => readonly PoolGauge[]): void;
+  /**
+   * Sets the function that returns the organisations' gauges; it bounds their
+   * number and is called on every scrape.
+   */
+  setOrganisationReader(reader: () => readonly OrganisationLoadGauge[]): void;
   /** Returns the metrics in Prometheus text format. */
   render(): Promise<string>;
 }
@@ -31,6 +36,15 @@
   readonly hosts: number;
 }
 
+/** Current load of an organisation. */
+export interface OrganisationLoadGauge {
+  readonly organisation: string;
+  readonly runningCpuMillis: number;
+  readonly openWorkflows: number;
+  readonly waitingWorkflows: number;
+  readonly longestWaitMs: number;
+}
+
 /**
  * Bucket bounds in seconds; cover the store's usual 4 ms up to 2 s of
  * long-polling calls.
@@ -69,15 +83,39 @@
     hosts: createGauge('usable_hosts', 'Hosts that tasks may be started on.'),
   };
 
-  function createGauge(name: string, help: string): Gauge {
+  const organisationGauges = {
+    runningCpuMillis: createGauge(
+      'running_cpu_millis',
+      'Thousandths of a processor that may be running.',
+      'organisation',
+    ),
+    openWorkflows: createGauge(
+      'open_workflows',
+      'Accepted workflows that have not ended.',
+      'organisation',
+    ),
+    waitingWorkflows: createGauge(
+      'waiting_workflows',
+      'Open workflows of which no task has started.',
+      'organisation',
+    ),
+    longestWaitMs: createGauge(
+      'longest_wait_ms',
+      'Longest wait of an open workflow for its first start.',
+      'organisation',
+    ),
+  };
+
+  function createGauge(name: string, help: string, label = 'pool'): Gauge {
     return new Gauge({
-      name: `sesamefront_pool_${name}`,
+      name: `sesamefront_${label}_${name}`,
       help,
-      labelNames: ['pool'],
+      labelNames: [label],
       registers,
     });
   }
 
+  let readOrganisations: () => readonly OrganisationLoadGauge[] = () => [];
   let readPools: () => readonly PoolGauge[] = () => [];
 
   function count(subject: string, fields: LogContext = {}): void {
@@ -107,6 +145,9 @@
     setPoolReader(reader) {
       readPools = reader;
     },
+    setOrganisationReader(reader) {
+      readOrganisations = reader;
+    },
     render() {
       for (const gauge of Object.values(gauges)) gauge.reset();
       for (const {pool, ...values} of readPools()) {
@@ -115,6 +156,14 @@
         gauges.freeCpuMillis.set({pool}, values.freeCpuMillis);
         gauges.hosts.set({pool}, values.hosts);
       }
+      for (const gauge of Object.values(organisationGauges)) gauge.reset();
+      for (const {organisation, ...values} of readOrganisations()) {
+        const label = {organisation};
+        organisationGauges.runningCpuMillis.set(label, values.runningCpuMillis);
+        organisationGauges.openWorkflows.set(label, values.openWorkflows);
+        organisationGauges.waitingWorkflows.set(label, values.waitingWorkflows);
+        organisationGauges.longestWaitMs.set(label, values.longestWaitMs);
+      }
       return registry.metrics();
     },
   };
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -12,7 +12,7 @@
   createLeadership,
   createMachineManager,
 } from '../actors/workflows';
-import {LoadReport} from '../decisions/workflows';
+import {LoadReport, OrganisationGauge} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
 import {Machines, PlacementAdvisor, TaskHosts} from '../ports/hosts';
 import {Mirror, createMirror, createUnixClock} from '../state';
@@ -76,6 +76,11 @@
    * host is the leader.
    */
   readPools(): readonly PoolGauge[];
+  /**
+   * Returns the load of the largest and the worst served organisations; empty
+   * unless this entry host is the leader.
+   */
+  readOrganisations(): readonly OrganisationGauge[];
   /** Gives up leadership and stops. */
   dispose(): Promise<void>;
 }
@@ -239,6 +244,7 @@
     isReady: () =>
       latest !== undefined && watched.synced.get() && watched.connected.get(),
     readPools: () => coordinator?.readPools() ?? [],
+    readOrganisations: () => coordinator?.readOrganisations() ?? [],
     async dispose() {
       await leadership.dispose();
       for (const mirror of [configuration, watched]) mirror.dispose();
