--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -11,6 +11,7 @@
 export * from './key_refusal';
 export * from './machine_view';
 export * from './order_workflows';
+export * from './organisation_gauges';
 export * from './organisation_usage';
 export * from './ownership';
 export * from './pace_fillers';
