--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,6 +1,5 @@
 import {
   HostRoom,
-  NO_CAPACITY,
   OrganisationUsage,
   PlacedTask,
   PlacementCandidate,
@@ -10,7 +9,6 @@
   TaskRecord,
   WaveLimits,
   WorkflowRecord,
-  addTasks,
   countWaves,
   createCandidateOrder,
   createPlacement,
@@ -24,12 +22,14 @@
   getUrgency,
   listReadyGroups,
   placeTasks,
+  sumCapacities,
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {
   Capacity,
   Organisation,
   Step,
+  TaskHost,
   Workflow,
   WorkflowState,
 } from '../../types/workflow';
@@ -136,14 +136,16 @@
 
   /** Returns the capacity of each pool if there are organisations. */
   function measurePools(): ReadonlyMap<string, Capacity> {
-    const capacities = new Map<string, Capacity>();
-    if (!getOrganisations()?.size) return capacities;
+    if (!getOrganisations()?.size) return new Map();
+    const hosts = new Map<string, TaskHost[]>();
     for (const {room} of sessions.all.values()) {
-      const {pool, capacity} = room.host;
-      const before = capacities.get(pool) ?? NO_CAPACITY;
-      capacities.set(pool, addTasks(before, capacity, 1));
+      const inPool = hosts.get(room.host.pool);
+      if (inPool) inPool.push(room.host);
+      else hosts.set(room.host.pool, [room.host]);
     }
-    return capacities;
+    return new Map(
+      [...hosts].map(([pool, inPool]) => [pool, sumCapacities(inPool)]),
+    );
   }
 
   function placePool(pass: PlacementPass): void {
--- a/src/decisions/workflows/candidate_order.ts
+++ b/src/decisions/workflows/candidate_order.ts
@@ -1,7 +1,6 @@
-import {Capacity} from '../../types/workflow';
 import {getRequiredCapacity} from './host_room';
 import {compareUrgency} from './order_workflows';
-import {NO_CAPACITY, addTasks} from './organisation_usage';
+import {NO_CAPACITY, sumCapacities} from './organisation_usage';
 import {PlacementCandidate, PlacementPass} from './placement_pass';
 import {TaskPhase} from './task_record';
 import {WeightedShares, createWeightedShares} from './weighted_shares';
@@ -102,8 +101,7 @@
   for (const name of organisations.keys()) {
     if (usage.getInPool(pool, name) !== NO_CAPACITY) names.add(name);
   }
-  let capacity: Capacity = NO_CAPACITY;
-  for (const {host} of rooms) capacity = addTasks(capacity, host.capacity, 1);
+  const capacity = sumCapacities(rooms.map(({host}) => host));
   const holders = [...names].map(name => ({
     name,
     weight: organisations.get(name)?.weight ?? 0,
--- a/src/decisions/workflows/organisation_usage.ts
+++ b/src/decisions/workflows/organisation_usage.ts
@@ -1,4 +1,4 @@
-import {Capacity} from '../../types/workflow';
+import {Capacity, TaskHost} from '../../types/workflow';
 import {TaskRecord} from './task_record';
 
 /**
@@ -58,6 +58,19 @@
   } else used.set(organisation, next);
 }
 
+/** Returns the sum of the capacities of hosts. */
+export function sumCapacities(hosts: Iterable<TaskHost>): Capacity {
+  let cpuMillis = 0;
+  let memoryMb = 0;
+  let accelerators = 0;
+  for (const {capacity} of hosts) {
+    cpuMillis += capacity.cpuMillis;
+    memoryMb += capacity.memoryMb;
+    accelerators += capacity.accelerators;
+  }
+  return {cpuMillis, memoryMb, accelerators};
+}
+
 /** Returns a capacity increased by that of a number of tasks of one size. */
 export function addTasks(
   used: Capacity,
