Add the fault soak: entry processes, proxies, seeded faults, checks while it runs

Cause: promises of the workflows' side were checked on the paused clock and on the users' bench only, never against real processes with faults of our own choice. Change: bench/soak draws storms of faults and planned work from a seed, plays them against target/entry.cjs and the platform's stand-ins, and checks the promises from what callers and hosts see. The stand-in's servers survive a request that breaks off, leave calls without an answer open, and can drop the store's history.

--- /dev/null
+++ b/bench/soak/apply_fault.ts
@@ -0,0 +1,210 @@
+import {LEADER_KEY} from '../../src/actors/workflows/keys';
+import {delay} from '../../src/state';
+import {MachineState} from '../../src/types/workflow';
+import {BOUNDS} from './bounds';
+import {Disturbances} from './disturbances';
+import {EntryRevival} from './entry_revival';
+import {Fault, FaultKind, LinkKind} from './fault';
+import {Link} from './link';
+import {Operator} from './operator';
+import {Plants} from './plant';
+import {POOLS, SoakSite} from './site';
+import {StoreServer} from './store_server';
+import {Check, Verdict} from './verdict';
+
+/** What faults act on. */
+export interface FaultContext {
+  readonly site: SoakSite;
+  readonly operator: Operator;
+  readonly revival: EntryRevival;
+  readonly disturbances: Disturbances;
+  readonly verdict: Verdict;
+  readonly plants: Plants;
+}
+
+/** Applies faults; each resolves when it is over. */
+export type ApplyFault = (fault: Fault) => Promise<void>;
+
+const PERCENT = 100;
+const HOST_RESTART_MS = 1_000;
+/** Maximum machines of a wave that are down at once. */
+const WAVE_CAP = 2;
+
+/** Creates the function that applies faults to a site. */
+export function createFaultApplier({
+  site,
+  operator,
+  revival,
+  disturbances,
+  verdict,
+  plants,
+}: FaultContext): ApplyFault {
+  const {entries, stores, platform} = site;
+  const {fleet, keyValue} = platform;
+  /** Latest fault of each target; an earlier one doesn't end it. */
+  const latest = new Map<object, Fault>();
+
+  function choose<T>(targets: readonly T[], {target, wide}: Fault) {
+    return wide ? targets : [targets[target % targets.length]];
+  }
+
+  /** Applies a fault to targets and ends it where no later one has begun. */
+  async function hold<T extends object>(
+    fault: Fault,
+    targets: readonly T[],
+    set: (target: T, on: boolean) => void,
+  ): Promise<void> {
+    for (const target of targets) {
+      latest.set(target, fault);
+      set(target, true);
+    }
+    await delay(fault.forMs);
+    for (const target of targets) {
+      if (latest.get(target) === fault) set(target, false);
+    }
+  }
+
+  function holdLinks(fault: Fault): Promise<void> {
+    const links = choose<Link>(site.links[fault.link ?? LinkKind.Store], fault);
+    return hold(fault, links, (link, on) =>
+      link.setFault(on ? fault.kind : undefined, fault.amount),
+    );
+  }
+
+  function holdStores(
+    fault: Fault,
+    set: (faults: StoreServer['faults'], on: boolean) => void,
+  ): Promise<void> {
+    const all = stores.map(({faults}) => faults);
+    return hold(fault, choose(all, fault), set);
+  }
+
+  async function stop(fault: Fault): Promise<void> {
+    const entry = entries[fault.target % entries.length];
+    const sentAt = performance.now();
+    const ended = await revival.stop(entry, fault.forMs / 4);
+    const fromMs = sentAt - BOUNDS.contactMs;
+    const toMs = sentAt + BOUNDS.graceMs;
+    if (ended || !disturbances.isCalm(fromMs, toMs)) return;
+    const subject = `entry ${entry.index + 1}, process ${entry.incarnation - 1}`;
+    const detail = `still there ${BOUNDS.graceMs} ms after SIGTERM`;
+    verdict.report(Check.PlannedStop, subject, detail);
+  }
+
+  async function freeze({target, forMs}: Fault): Promise<void> {
+    const entry = entries[target % entries.length];
+    const {incarnation} = entry;
+    entry.signal('SIGSTOP');
+    await delay(forMs);
+    if (entry.incarnation === incarnation) entry.signal('SIGCONT');
+  }
+
+  async function reload({target}: Fault): Promise<void> {
+    const entry = entries[target % entries.length];
+    // A process that has not started yet has nothing to read again.
+    if (await entry.isReady()) entry.signal('SIGHUP');
+  }
+
+  function pickMachine({target}: Fault): string {
+    const count = [...POOLS.values()].reduce((sum, size) => sum + size, 0);
+    return `machine-${(target % count) + 1}`;
+  }
+
+  async function crashHost(machine: string, pauseMs: number): Promise<void> {
+    if (!fleet.getHost(machine)) return;
+    fleet.crash(machine, false);
+    await delay(pauseMs);
+    const isDown = fleet.machines.get(machine)?.state === MachineState.Down;
+    if (isDown) fleet.boot(machine);
+  }
+
+  async function drainHost(fault: Fault): Promise<void> {
+    const machine = pickMachine(fault);
+    const host = fleet.getHost(machine);
+    fleet.announceDraining(machine);
+    await delay(BOUNDS.drainMs + fault.forMs);
+    if (host && fleet.getHost(machine) === host) {
+      await crashHost(machine, HOST_RESTART_MS);
+    }
+  }
+
+  async function spoilHost(fault: Fault): Promise<void> {
+    const faults = fleet.getHost(pickMachine(fault))?.faults;
+    if (!faults) return;
+    const hangs = fault.kind === FaultKind.HostHang;
+    await hold(fault, [faults], (target, on) => {
+      target.hanging = on && hangs;
+      target.failing = on && !hangs;
+    });
+  }
+
+  function declareWave({target}: Fault): void {
+    const last = operator.waves[operator.waves.length - 1];
+    const isUnderWay =
+      last && platform.readWaveState(last.wave) !== 'completed';
+    if (isUnderWay) return;
+    const pools = [...POOLS.keys()];
+    const pool = pools[target % pools.length];
+    const {wave} = operator.declareWave(pool, (target % WAVE_CAP) + 1);
+    if (!plants.take(Check.Waves)) return;
+    const key = `status/wave/${wave}`;
+    const value = JSON.stringify({state: 'completed'});
+    keyValue.swap({key, expectedVersion: 0, value});
+  }
+
+  async function apply(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case FaultKind.Terminate:
+        return stop(fault);
+      case FaultKind.Kill:
+        return revival.kill(
+          entries[fault.target % entries.length],
+          fault.forMs / 2,
+        );
+      case FaultKind.Freeze:
+        return freeze(fault);
+      case FaultKind.Reload:
+        return reload(fault);
+      case FaultKind.SlowStore:
+        return holdStores(fault, (faults, on) => {
+          faults.slowMs = on ? fault.amount : 0;
+        });
+      case FaultKind.LostWrites:
+        return holdStores(fault, (faults, on) => {
+          faults.lostWrites = on ? fault.amount / PERCENT : 0;
+        });
+      case FaultKind.TurnedAway:
+        return holdStores(fault, (faults, on) => {
+          faults.turnedAway = on;
+        });
+      case FaultKind.DroppedHistory:
+        return keyValue.compact();
+      case FaultKind.RevokedLease:
+        return keyValue.revokeLease(keyValue.get(LEADER_KEY)?.leaseId ?? '');
+      case FaultKind.HostCrash:
+        return crashHost(pickMachine(fault), fault.forMs);
+      case FaultKind.HostDrain:
+        return drainHost(fault);
+      case FaultKind.HostHang:
+      case FaultKind.HostErrors:
+        return spoilHost(fault);
+      case FaultKind.LateOrders:
+        return hold(fault, [fleet.faults], (faults, on) => {
+          const share = on ? fault.amount / PERCENT : 0;
+          faults.delayedOrders = {share, afterMs: fault.forMs / 2};
+        });
+      case FaultKind.Configure:
+        return operator.configure(plants.take(Check.ConfigurationTime));
+      case FaultKind.Wave:
+        return declareWave(fault);
+      default:
+        return holdLinks(fault);
+    }
+  }
+
+  return async fault => {
+    const end = disturbances.begin(fault.kind, fault.target);
+    await apply(fault);
+    end();
+  };
+}
--- /dev/null
+++ b/bench/soak/caller.ts
@@ -0,0 +1,114 @@
+import {Agent, request} from 'node:http';
+import {AUTHORITY, CallEnd} from './submission';
+
+/** A call to an entry host, as its caller saw it. */
+export interface CallRecord {
+  readonly entry: number;
+  /** Number of the entry host's process at the start and end of the call. */
+  readonly incarnations: readonly [number, number];
+  /** Monotonic times in ms. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly end: CallEnd;
+  /** 0 without an answer. */
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+  readonly retryAfterMs: number;
+}
+
+/** Calls entry hosts over connections that stay open until they break. */
+export interface Caller {
+  call(
+    entry: number,
+    method: string,
+    path: string,
+    body?: string,
+  ): Promise<CallRecord>;
+  dispose(): void;
+}
+
+/** Options of a caller. */
+export interface CallerOptions {
+  /** Addresses of the entry hosts by index. */
+  readonly addresses: readonly string[];
+  readonly getIncarnation: (entry: number) => number;
+  /** Called with each call that has ended; may replace it. */
+  readonly onCall: (record: CallRecord) => CallRecord;
+}
+
+/** Time in ms for which callers wait for an answer. */
+const DEADLINE_MS = 4_000;
+const MAX_CONNECTIONS = 8;
+
+/** Creates a caller of all entry hosts. */
+export function createCaller({
+  addresses,
+  getIncarnation,
+  onCall,
+}: CallerOptions): Caller {
+  const agents = addresses.map(
+    () => new Agent({keepAlive: true, maxSockets: MAX_CONNECTIONS}),
+  );
+
+  return {
+    call: (entry, method, path, body) =>
+      new Promise(resolve => {
+        const [host, port] = addresses[entry].split(':');
+        const before = getIncarnation(entry);
+        const sentAt = performance.now();
+        const chunks: Buffer[] = [];
+
+        function finish(end: CallEnd, status = 0, retryAfterMs = 0): void {
+          clearTimeout(timer);
+          resolve(
+            onCall({
+              entry,
+              incarnations: [before, getIncarnation(entry)],
+              sentAt,
+              endedAt: performance.now(),
+              end,
+              status,
+              body: end === CallEnd.Answered ? parse(chunks) : {},
+              retryAfterMs,
+            }),
+          );
+        }
+
+        const outgoing = request({
+          agent: agents[entry],
+          ...{host, port, method, path},
+          headers: {
+            host: AUTHORITY,
+            'content-type': 'application/json',
+            'x-deadline-ms': DEADLINE_MS,
+          },
+        });
+        const timer = setTimeout(() => {
+          finish(CallEnd.TimedOut);
+          outgoing.destroy();
+        }, DEADLINE_MS);
+        outgoing.on('error', () => finish(CallEnd.Cut));
+        outgoing.on('response', response => {
+          const retryAfterMs =
+            Number(response.headers['retry-after'] ?? 0) * 1_000;
+          response.on('data', chunk => chunks.push(chunk));
+          response.on('error', () => finish(CallEnd.Cut));
+          response.on('end', () =>
+            finish(CallEnd.Answered, response.statusCode, retryAfterMs),
+          );
+        });
+        outgoing.end(body);
+      }),
+    dispose() {
+      for (const agent of agents) agent.destroy();
+    },
+  };
+}
+
+function parse(chunks: readonly Buffer[]): CallRecord['body'] {
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/bench/soak/callers.ts
@@ -0,0 +1,223 @@
+import {delay} from '../../src/state';
+import {BOUNDS} from './bounds';
+import {CallRecord, Caller} from './caller';
+import {Disturbances} from './disturbances';
+import {Plants} from './plant';
+import {Random} from './random';
+import {RunHistory} from './run_history';
+import {CallEnd, Submission, drawSubmission} from './submission';
+import {Check, Verdict} from './verdict';
+
+/** Callers that submit workflows without pause and follow them to their end. */
+export interface Callers {
+  start(): void;
+  /** Submits a workflow at one entry host; resolves to whether it accepted. */
+  submitAt(entry: number): Promise<boolean>;
+  /** Submits nothing more; workflows under way are still followed. */
+  stop(): void;
+  /** Returns accepted workflows whose final state nobody was shown. */
+  listUnfinished(): readonly Submission[];
+  /** Stops following workflows. */
+  dispose(): void;
+}
+
+/** Options of the callers. */
+export interface CallersOptions {
+  readonly caller: Caller;
+  readonly entryCount: number;
+  readonly submissions: Map<string, Submission>;
+  readonly history: RunHistory;
+  readonly verdict: Verdict;
+  readonly plants: Plants;
+  readonly random: Random;
+  /** Called with the id of each workflow when it was accepted. */
+  readonly onAccepted: (submission: Submission) => void;
+}
+
+const SUBMISSIONS_PER_SECOND = 6;
+/** Number of unfinished workflows above which no more are submitted. */
+const MAX_UNFINISHED = 120;
+const MAX_ATTEMPTS = 6;
+const FINAL_STATES = ['completed', 'failed', 'cancelled'];
+/** Answers after which it is not known whether the call had an effect. */
+const UNKNOWN_STATUS = [0, 502, 504];
+const REFUSED_STATUS = [429, 503];
+const CANCELLED_STATUS = [200, 410];
+
+/** Creates callers that submit nothing yet. */
+export function createCallers({
+  caller,
+  entryCount,
+  submissions,
+  history,
+  verdict,
+  plants,
+  random,
+  onAccepted,
+}: CallersOptions): Callers {
+  let stopped = false;
+  let disposed = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const pickEntry = () => random.between(0, entryCount - 1);
+
+  function listUnfinished(): readonly Submission[] {
+    return [...submissions.values()].filter(
+      ({acceptedAt, finalState}) =>
+        acceptedAt !== undefined && finalState === undefined,
+    );
+  }
+
+  function createSubmission(): Submission {
+    const submission = drawSubmission(random, submissions.size + 1);
+    submissions.set(submission.id, submission);
+    return submission;
+  }
+
+  /** Sends a submission once and records what its caller learns. */
+  async function attempt(
+    submission: Submission,
+    entry: number,
+  ): Promise<CallRecord> {
+    submission.openAttempts += 1;
+    const {path, body, id} = submission;
+    const record = await caller.call(entry, 'POST', path, body);
+    submission.openAttempts -= 1;
+    if (record.status === 200) {
+      if (submission.acceptedAt !== undefined) return record;
+      if (plants.take(Check.Refusals)) {
+        return {...record, status: REFUSED_STATUS[0], retryAfterMs: 1_000};
+      }
+      submission.acceptedAt = performance.now();
+      onAccepted(submission);
+    } else if (UNKNOWN_STATUS.includes(record.status)) {
+      submission.maybeStored = true;
+    } else if (!REFUSED_STATUS.includes(record.status)) {
+      const detail = `${record.status} at entry ${entry + 1}`;
+      verdict.report(Check.Kept, `submission of ${id}`, detail);
+    }
+    return record;
+  }
+
+  async function submit(submission: Submission): Promise<void> {
+    let entry = pickEntry();
+    for (let count = 0; count < MAX_ATTEMPTS && !disposed; count += 1) {
+      const {status, retryAfterMs} = await attempt(submission, entry);
+      if (status === 200) break;
+      const refused = REFUSED_STATUS.includes(status);
+      if (refused && random.chance(0.5)) break;
+      await delay(refused ? retryAfterMs : random.between(50, 600));
+      entry = (entry + random.between(1, entryCount - 1)) % entryCount;
+    }
+    if (submission.acceptedAt !== undefined) return follow(submission);
+    if (submission.maybeStored || disposed) return;
+    submission.refused = true;
+    history.follow();
+    if (history.hasStarted(submission.id)) {
+      verdict.report(Check.Refusals, submission.id, 'had started before');
+    }
+  }
+
+  /** Asks for the state of an accepted workflow until it is final. */
+  async function follow(submission: Submission): Promise<void> {
+    if (random.chance(0.08)) void cancel(submission);
+    if (random.chance(0.1)) void repeat(submission);
+    while (submission.finalState === undefined && !disposed) {
+      await delay(random.between(300, 1_000));
+      checkState(
+        submission,
+        await caller.call(pickEntry(), 'GET', submission.path),
+      );
+    }
+    // A final state stays, also at another entry host.
+    await delay(random.between(100, 2_000));
+    if (disposed) return;
+    const record = await caller.call(pickEntry(), 'GET', submission.path);
+    checkState(submission, record);
+  }
+
+  async function repeat(submission: Submission): Promise<void> {
+    await delay(random.between(100, 4_000));
+    if (!disposed) await attempt(submission, pickEntry());
+  }
+
+  async function cancel(submission: Submission): Promise<void> {
+    await delay(random.between(20, 1_200));
+    while (submission.cancelledAt === undefined && !disposed) {
+      submission.cancelSentAt ??= performance.now();
+      const {path} = submission;
+      const record = await caller.call(pickEntry(), 'DELETE', path);
+      if (CANCELLED_STATUS.includes(record.status)) {
+        submission.cancelledAt = performance.now();
+      } else await delay(random.between(100, 600));
+    }
+  }
+
+  function checkState(submission: Submission, record: CallRecord): void {
+    const {id, acceptedAt = Infinity, cancelSentAt} = submission;
+    history.follow();
+    if (record.status === 410 || record.status === 404) {
+      const isVisible = record.sentAt > acceptedAt + BOUNDS.visibleMs;
+      if (cancelSentAt !== undefined || !isVisible) return;
+      const detail = `${record.status} at entry ${record.entry + 1}`;
+      return verdict.report(Check.Kept, id, detail);
+    }
+    if (record.status !== 200) return;
+    const state =
+      !history.isDone(submission) && plants.take(Check.States)
+        ? 'completed'
+        : String(record.body.state);
+    if (state === 'completed' && !history.isDone(submission)) {
+      verdict.report(Check.States, id, 'completed before its last task');
+    }
+    if (state === 'failed' && !history.hasFailed(submission)) {
+      verdict.report(Check.States, id, 'failed without enough failed runs');
+    }
+    if (state === 'cancelled' && cancelSentAt === undefined) {
+      verdict.report(Check.States, id, 'cancelled by nobody');
+    }
+    const {finalState} = submission;
+    if (finalState !== undefined && finalState !== state) {
+      // A cancellation may come too late for a workflow that has ended.
+      if (finalState === 'cancelled' && state === 'completed') return;
+      verdict.report(Check.States, id, `${finalState}, then ${state}`);
+    }
+    if (FINAL_STATES.includes(state)) submission.finalState ??= state;
+  }
+
+  return {
+    start() {
+      timer = setInterval(() => {
+        if (stopped || listUnfinished().length > MAX_UNFINISHED) return;
+        void submit(createSubmission());
+      }, 1_000 / SUBMISSIONS_PER_SECOND);
+    },
+    async submitAt(entry) {
+      const submission = createSubmission();
+      const {status} = await attempt(submission, entry);
+      if (submission.acceptedAt !== undefined) void follow(submission);
+      else submission.refused = !submission.maybeStored;
+      return status === 200;
+    },
+    stop() {
+      stopped = true;
+    },
+    listUnfinished,
+    dispose() {
+      disposed = true;
+      clearInterval(timer);
+    },
+  };
+}
+
+/** Returns whether a call got no answer although nothing kept it from one. */
+export function isCutWithoutCause(
+  {sentAt, endedAt, end}: CallRecord,
+  disturbances: Disturbances,
+): boolean {
+  return (
+    end === CallEnd.Cut &&
+    endedAt - sentAt > BOUNDS.lossSlackMs &&
+    disturbances.isCalm(sentAt - BOUNDS.contactMs, endedAt)
+  );
+}
--- /dev/null
+++ b/bench/soak/entry.ts
@@ -0,0 +1,127 @@
+import {ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {delay} from '../../src/state';
+import {
+  CALLER_PORT,
+  PlatformAddresses,
+  READY_PORT,
+  writeEntrySettings,
+} from '../workflows/entry_process';
+
+/** An entry host whose process is signalled and started again. */
+export interface Entry {
+  readonly index: number;
+  /** Address and port for callers, without a proxy. */
+  readonly callersAddress: string;
+  /** Number of the process; grows with each start. */
+  readonly incarnation: number;
+  /** Whether the running process was asked to stop or was killed. */
+  readonly stopping: boolean;
+  start(): void;
+  signal(signal: NodeJS.Signals): void;
+  /** Kills the process as if it had ended by itself; a planted fault. */
+  killUnasked(): void;
+  /** Whether a process runs. */
+  isRunning(): boolean;
+  /** Resolves to whether the process has ended within the time. */
+  awaitExit(withinMs: number): Promise<boolean>;
+  isReady(): Promise<boolean>;
+  /** Returns the peak memory of the process in MB; 0 if none runs. */
+  dispose(): Promise<void>;
+}
+
+/** Options of an entry host. */
+export interface EntryOptions {
+  readonly index: number;
+  readonly ip: string;
+  readonly platform: PlatformAddresses;
+  /** Folder for settings and logs. */
+  readonly folder: string;
+  /** Called if the process ends without having been asked to. */
+  readonly onUnexpectedExit: (index: number) => void;
+}
+
+const READY_TIMEOUT_MS = 500;
+
+/** Creates an entry host; the caller starts it. */
+export function createEntry({
+  index,
+  ip,
+  platform,
+  folder,
+  onUnexpectedExit,
+}: EntryOptions): Entry {
+  const name = `entry-${index + 1}`;
+  const settings = join(folder, `${name}.conf`);
+  writeFileSync(settings, writeEntrySettings(platform, ip, index));
+  const log = createWriteStream(join(folder, `${name}.log`));
+  let child: ChildProcess | undefined;
+  let incarnation = 0;
+  let stopping = false;
+
+  function start(): void {
+    incarnation += 1;
+    stopping = false;
+    const started = spawn(process.execPath, ['target/entry.cjs'], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, SESAMEFRONT_SETTINGS: settings},
+    });
+    child = started;
+    started.stdout.pipe(log, {end: false});
+    started.stderr.pipe(log, {end: false});
+    // A frozen process ends at a SIGKILL too.
+    const killAtExit = () => started.kill('SIGKILL');
+    process.on('exit', killAtExit);
+    started.on('exit', (code, signal) => {
+      process.off('exit', killAtExit);
+      if (child !== started) return;
+      child = undefined;
+      log.write(`exit ${signal ?? code}\n`);
+      if (!stopping) onUnexpectedExit(index);
+    });
+  }
+
+  return {
+    index,
+    callersAddress: `${ip}:${CALLER_PORT}`,
+    get incarnation() {
+      return incarnation;
+    },
+    get stopping() {
+      return stopping;
+    },
+    start,
+    signal(signal) {
+      if (signal === 'SIGTERM' || signal === 'SIGKILL') stopping = true;
+      child?.kill(signal);
+    },
+    killUnasked: () => void child?.kill('SIGKILL'),
+    isRunning: () => child !== undefined,
+    async awaitExit(withinMs) {
+      const running = child;
+      if (!running) return true;
+      return Promise.race([
+        once(running, 'exit').then(() => true),
+        delay(withinMs).then(() => child !== running),
+      ]);
+    },
+    async isReady() {
+      const answer = await fetch(`http://${ip}:${READY_PORT}/-/ready`, {
+        signal: AbortSignal.timeout(READY_TIMEOUT_MS),
+      }).catch(() => undefined);
+      return answer?.status === 200;
+    },
+    async dispose() {
+      stopping = true;
+      const running = child;
+      if (running) {
+        const exited = once(running, 'exit');
+        running.kill('SIGKILL');
+        await exited;
+      }
+      log.end();
+    },
+  };
+}
--- /dev/null
+++ b/bench/soak/fault.ts
@@ -0,0 +1,64 @@
+/** Kinds of faults from outside, and of the operator's planned work. */
+export enum FaultKind {
+  // Of a link.
+  Delay = 'delay',
+  Reset = 'reset',
+  CutRequests = 'cut-requests',
+  CutAnswers = 'cut-answers',
+  Silence = 'silence',
+  // Of an entry host's process.
+  Terminate = 'sigterm',
+  Kill = 'sigkill',
+  Freeze = 'sigstop',
+  Reload = 'sighup',
+  // Of the store.
+  SlowStore = 'slow-store',
+  LostWrites = 'lost-writes',
+  TurnedAway = 'turned-away',
+  DroppedHistory = 'dropped-history',
+  RevokedLease = 'revoked-lease',
+  // Of a host.
+  HostCrash = 'host-crash',
+  HostDrain = 'host-drain',
+  HostHang = 'host-hang',
+  HostErrors = 'host-errors',
+  LateOrders = 'late-orders',
+  // Of the operator.
+  Configure = 'configure',
+  Wave = 'wave',
+}
+
+/** Links that have a proxy. */
+export enum LinkKind {
+  Callers = 'callers',
+  Store = 'store',
+  Machines = 'machines',
+  Hosts = 'hosts',
+}
+
+/** One fault of a list. */
+export interface Fault {
+  readonly kind: FaultKind;
+  /** Time of its start in ms after the start of the load. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Index of the entry host or machine; counted modulo their number. */
+  readonly target: number;
+  /** Which of the target's links; set for faults of links. */
+  readonly link?: LinkKind;
+  /** Whether all targets are hit instead of one. */
+  readonly wide: boolean;
+  /** Delay in ms or share in percent, where the kind has one. */
+  readonly amount: number;
+}
+
+/**
+ * Kinds that are planned work: they excuse nothing but what they cause
+ * themselves.
+ */
+export const PLANNED_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.Terminate,
+  FaultKind.Reload,
+  FaultKind.Configure,
+  FaultKind.Wave,
+]);
--- /dev/null
+++ b/bench/soak/run.ts
@@ -0,0 +1,233 @@
+import {setInterval as everyMs} from 'node:timers';
+import {delay} from '../../src/state';
+import {createFaultApplier} from './apply_fault';
+import {BOUNDS} from './bounds';
+import {createCaller} from './caller';
+import {createCallers, isCutWithoutCause} from './callers';
+import {startConfigurationProbe} from './configuration_probe';
+import {createDisturbances} from './disturbances';
+import {createEntryRevival} from './entry_revival';
+import {Fault, LinkKind} from './fault';
+import {createOperator} from './operator';
+import {createPlants, cutAnswer, doubleRun, loseWorkflow} from './plant';
+import {createRandom} from './random';
+import {createRunHistory} from './run_history';
+import {createSoakSite} from './site';
+import {CallEnd, Submission} from './submission';
+import {Check, Verdict, Violation, createVerdict} from './verdict';
+
+/** Options of one play of a fault list. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly faults: readonly Fault[];
+  /** Folder for settings, logs and histories. */
+  readonly folder: string;
+  readonly entryCount: number;
+  /** Checks for which a fault is planted that they must find. */
+  readonly planted: readonly Check[];
+  readonly progress: (line: string) => void;
+  /** Called with a function that ends all processes at once. */
+  readonly onStarted: (dispose: () => Promise<void>) => void;
+}
+
+/** Result of one play. */
+export interface SoakResult {
+  readonly violations: readonly Violation[];
+  /** Counts of what callers and hosts saw. */
+  readonly counts: Readonly<Record<string, number>>;
+  /** Everything that hosts saw and callers know, for a failing run's folder. */
+  readonly history: object;
+}
+
+const FOLLOW_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 2_000;
+const READY_POLL_MS = 100;
+const LAG_CHECK_MS = 50;
+/** Delay of the soak's own timers above which it excuses late answers, in ms. */
+const MAX_LAG_MS = 100;
+
+/** Plays a fault list against fresh entry hosts and checks the promises. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const {seed, faults, folder, entryCount, progress} = options;
+  const random = createRandom(seed);
+  const plants = createPlants(options.planted);
+  const disturbances = createDisturbances();
+  let startedAt = performance.now();
+  const verdict: Verdict = createVerdict(
+    () => performance.now() - startedAt,
+    ({check, subject, detail, atMs}) =>
+      progress(`${atMs} ms: ${check}: ${subject}: ${detail}`),
+  );
+  const revival = createEntryRevival();
+  let ended = false;
+  const site = await createSoakSite({
+    random,
+    folder,
+    entryCount,
+    onUnexpectedExit: index => reviveEnded(index),
+  });
+  const {platform, entries, links} = site;
+  const operator = createOperator(platform);
+  operator.configure();
+  const submissions = new Map<string, Submission>();
+  const history = createRunHistory({
+    ...{platform, submissions, disturbances, verdict},
+    waves: operator.waves,
+  });
+  let calls = 0;
+  let unanswered = 0;
+  const caller = createCaller({
+    addresses: links[LinkKind.Callers].map(({address}) => address),
+    getIncarnation: entry => entries[entry].incarnation,
+    onCall(answered) {
+      const isCalm = disturbances.isCalm(
+        answered.sentAt - BOUNDS.contactMs - 1_000,
+        answered.endedAt,
+      );
+      const record =
+        !ended && isCalm && plants.take(Check.PlannedStop)
+          ? cutAnswer(answered)
+          : answered;
+      calls += 1;
+      if (record.end !== CallEnd.Answered) unanswered += 1;
+      if (!ended && isCutWithoutCause(record, disturbances)) {
+        const lastedMs = Math.round(record.endedAt - record.sentAt);
+        const subject = `entry ${record.entry + 1}, process ${record.incarnations[0]}`;
+        verdict.report(Check.PlannedStop, subject, `cut after ${lastedMs} ms`);
+      }
+      return record;
+    },
+  });
+  const shared = {caller, entryCount, disturbances, verdict, plants, random};
+  const callers = createCallers({
+    ...{...shared, submissions, history},
+    onAccepted({id}) {
+      if (plants.take(Check.Kept)) loseWorkflow(platform, id);
+    },
+  });
+  const stops: (() => void)[] = [];
+
+  function reviveEnded(index: number): void {
+    if (ended) return;
+    verdict.report(Check.Processes, `entry ${index + 1}`, 'ended by itself');
+    void revival.revive(entries[index], 0);
+  }
+
+  function every(intervalMs: number, effect: () => void): void {
+    const timer = everyMs(effect, intervalMs);
+    stops.push(() => clearInterval(timer));
+  }
+
+  async function dispose(): Promise<void> {
+    ended = true;
+    for (const stop of stops) stop();
+    callers.dispose();
+    caller.dispose();
+    await site.dispose();
+  }
+
+  function watchOwnLag(): void {
+    let lastAt = performance.now();
+    every(LAG_CHECK_MS, () => {
+      const now = performance.now();
+      const isLate = now - lastAt > LAG_CHECK_MS + MAX_LAG_MS;
+      if (isLate) disturbances.add('late-soak', lastAt);
+      lastAt = now;
+    });
+  }
+
+  async function awaitEachReady(): Promise<readonly number[]> {
+    const endsAt = performance.now() + BOUNDS.recoveryMs;
+    const missing = new Set(entries.keys());
+    while (missing.size > 0 && performance.now() < endsAt) {
+      for (const index of [...missing]) {
+        const serves =
+          (await entries[index].isReady()) && (await callers.submitAt(index));
+        if (serves) missing.delete(index);
+      }
+      await delay(READY_POLL_MS);
+    }
+    return [...missing];
+  }
+
+  async function plantInRuns(): Promise<void> {
+    if (plants.take(Check.Processes)) {
+      entries[0].killUnasked();
+    }
+    if (!plants.take(Check.Runs)) return;
+    while (!(await doubleRun(platform, submissions))) {
+      await delay(FOLLOW_INTERVAL_MS);
+    }
+  }
+
+  options.onStarted(dispose);
+  for (const entry of entries) void revival.revive(entry, 0);
+  const unready = await awaitEachReady();
+  for (const index of unready) {
+    verdict.report(Check.Recovery, `entry ${index + 1}`, 'is not ready');
+  }
+  progress(`ready after ${Math.round(performance.now() - startedAt)} ms`);
+  startedAt = performance.now();
+  callers.start();
+  stops.push(startConfigurationProbe({...shared, operator}));
+  every(FOLLOW_INTERVAL_MS, () => history.follow());
+  every(CHECK_INTERVAL_MS, () => history.checkAll());
+  watchOwnLag();
+  const apply = createFaultApplier({
+    ...{site, operator, revival, disturbances, verdict, plants},
+  });
+  void plantInRuns();
+  await Promise.all(
+    faults.map(async fault => {
+      await delay(fault.atMs);
+      if (!ended) await apply(fault);
+    }),
+  );
+  progress(
+    `last fault over after ${Math.round(performance.now() - startedAt)} ms`,
+  );
+  if (plants.take(Check.Recovery)) entries[entryCount - 1].signal('SIGSTOP');
+  for (const index of await awaitEachReady()) {
+    const detail = `serves nothing ${BOUNDS.recoveryMs} ms after the last fault`;
+    verdict.report(Check.Recovery, `entry ${index + 1}`, detail);
+  }
+  progress(`all serve after ${Math.round(performance.now() - startedAt)} ms`);
+  callers.stop();
+  const finishBy = performance.now() + BOUNDS.finishMs;
+  while (callers.listUnfinished().length > 0 && performance.now() < finishBy) {
+    await delay(READY_POLL_MS);
+  }
+  for (const {id} of callers.listUnfinished()) {
+    const detail = `has not ended ${BOUNDS.finishMs} ms after the load`;
+    verdict.report(Check.Recovery, id, detail);
+  }
+  history.follow();
+  history.checkAll();
+  const states = [...submissions.values()].map(each => each.finalState);
+  const count = (state: string) => states.filter(s => s === state).length;
+  const counts = {
+    faults: faults.length,
+    seconds: Math.round((performance.now() - startedAt) / 1_000),
+    calls,
+    unanswered,
+    submissions: submissions.size,
+    completed: count('completed'),
+    failed: count('failed'),
+    cancelled: count('cancelled'),
+    refused: [...submissions.values()].filter(each => each.refused).length,
+    starts: history.countStarts(),
+    configurations: operator.version,
+    waves: operator.waves.length,
+    processes: entries.reduce((sum, entry) => sum + entry.incarnation, 0),
+  };
+  await dispose();
+  return {
+    violations: verdict.violations,
+    counts,
+    history: {
+      startedAt,
+      submissions: [...submissions.values()],
+      events: platform.fleet.events,
+    },
+  };
+}
--- /dev/null
+++ b/bench/soak/run_history.ts
@@ -0,0 +1,151 @@
+import {
+  RunViolation,
+  RunViolationKind,
+  checkRuns,
+} from '../../src/history/workflows';
+import {ExternalPlatform} from '../../src/stand_ins/external_platform';
+import {FleetEventKind} from '../../src/stand_ins/fleet';
+import {MachineState, TaskEndKind} from '../../src/types/workflow';
+import {BOUNDS} from './bounds';
+import {Disturbances} from './disturbances';
+import {FaultKind} from './fault';
+import {DeclaredWave} from './operator';
+import {Submission, listTasks} from './submission';
+import {Check, Verdict} from './verdict';
+
+/** What the hosts and machines saw, checked against what callers asked for. */
+export interface RunHistory {
+  /** Reads new events and checks what concerns single ones. */
+  follow(): void;
+  /** Checks the whole history. */
+  checkAll(): void;
+  /** Whether all tasks of a workflow have been done. */
+  isDone(submission: Submission): boolean;
+  /** Whether a task of a workflow failed as often as it may. */
+  hasFailed(submission: Submission): boolean;
+  hasStarted(id: string): boolean;
+  countStarts(): number;
+}
+
+/** Options of a run history. */
+export interface RunHistoryOptions {
+  readonly platform: ExternalPlatform;
+  readonly submissions: ReadonlyMap<string, Submission>;
+  readonly waves: readonly DeclaredWave[];
+  readonly disturbances: Disturbances;
+  readonly verdict: Verdict;
+}
+
+/** Rules that hold only if no fault was near. */
+const TIMED_KINDS: ReadonlySet<RunViolationKind> = new Set([
+  RunViolationKind.NotRequested,
+  RunViolationKind.OnLeavingHost,
+  RunViolationKind.IncompleteGang,
+  RunViolationKind.HoldersTooClose,
+]);
+/** Faults that excuse none of these rules. */
+const NO_EXCUSE: ReadonlySet<FaultKind> = new Set([
+  FaultKind.Configure,
+  FaultKind.HostDrain,
+]);
+
+/** Creates a history that has read no event yet. */
+export function createRunHistory({
+  platform,
+  submissions,
+  waves,
+  disturbances,
+  verdict,
+}: RunHistoryOptions): RunHistory {
+  const {events} = platform.fleet;
+  const started = new Set<string>();
+  const done = new Set<string>();
+  const failures = new Map<string, number>();
+  const serviced = new Map<string, number>();
+  let read = 0;
+  let starts = 0;
+
+  function isExcused({kind, subject, at}: RunViolation): boolean {
+    if (!TIMED_KINDS.has(kind)) return false;
+    const known = submissions.has(subject.split('.')[0]);
+    if (kind === RunViolationKind.NotRequested && !known) return false;
+    const fromMs = at - BOUNDS.contactMs - BOUNDS.cancelMs;
+    return !disturbances.isCalm(fromMs, at, NO_EXCUSE);
+  }
+
+  function checkWaves(): void {
+    for (const {wave, machines, cap, declaredAt} of waves) {
+      const down = machines.filter(
+        each =>
+          platform.fleet.machines.get(each)?.state === MachineState.Maintenance,
+      );
+      if (down.length > cap) {
+        const detail = `${down.join(', ')} are down, of which ${cap} may be`;
+        verdict.report(Check.Waves, `limit of wave ${wave}`, detail);
+      }
+      if (platform.readWaveState(wave) !== 'completed') continue;
+      const missing = machines.filter(
+        machine => !((serviced.get(machine) ?? 0) > declaredAt),
+      );
+      if (missing.length > 0) {
+        const detail = `completed without ${missing.join(', ')}`;
+        verdict.report(Check.Waves, `wave ${wave}`, detail);
+      }
+    }
+  }
+
+  return {
+    follow() {
+      for (; read < events.length; read += 1) {
+        const {kind, task, how, at, hostId} = events[read];
+        const [id] = task.split('.');
+        if (kind === FleetEventKind.Start) {
+          starts += 1;
+          started.add(id);
+          if (submissions.get(id)?.refused) {
+            verdict.report(Check.Refusals, id, `started on ${hostId}`);
+          }
+        }
+        if (kind === FleetEventKind.End && how === TaskEndKind.Done) {
+          done.add(task);
+        }
+        if (kind === FleetEventKind.End && how === TaskEndKind.Failed) {
+          failures.set(task, (failures.get(task) ?? 0) + 1);
+        }
+        if (kind === FleetEventKind.Order) {
+          const [state, machine] = task.split(' ');
+          if (state === MachineState.Maintenance) serviced.set(machine, at);
+        }
+      }
+      checkWaves();
+    },
+    checkAll() {
+      const cancelledAt = new Map<string, number>();
+      for (const {id, cancelledAt: at} of submissions.values()) {
+        if (at !== undefined) cancelledAt.set(id, at);
+      }
+      const violations = checkRuns(events, {
+        workflows: new Map(
+          [...submissions].map(([id, {workflow}]) => [id, workflow]),
+        ),
+        cancelledAt,
+        cancelMs: BOUNDS.cancelMs,
+        hosts: platform.fleet.hosts,
+        drainMs: BOUNDS.drainMs,
+        holderGapMs: BOUNDS.holderGapMs,
+      });
+      for (const violation of violations) {
+        if (isExcused(violation)) continue;
+        const {kind, subject, at} = violation;
+        verdict.report(Check.Runs, `${kind} ${subject}`, `at ${at} ms`);
+      }
+    },
+    isDone: ({workflow}) => listTasks(workflow).every(task => done.has(task)),
+    hasFailed: ({workflow}) =>
+      listTasks(workflow).some(
+        task => (failures.get(task) ?? 0) >= workflow.maxAttempts,
+      ),
+    hasStarted: id => started.has(id),
+    countStarts: () => starts,
+  };
+}
--- /dev/null
+++ b/bench/soak/submission.ts
@@ -0,0 +1,94 @@
+import {readDraft} from '../../platform/submission';
+import {TaskBehaviour} from '../../src/stand_ins/fleet';
+import {Workflow} from '../../src/types/workflow';
+import {Random} from './random';
+
+/** How a call ended, as its caller saw it. */
+export enum CallEnd {
+  Answered = 'answered',
+  /** The connection ended without a complete answer. */
+  Cut = 'cut',
+  TimedOut = 'timed-out',
+}
+
+/** A workflow and what its caller knows of it. */
+export interface Submission {
+  readonly id: string;
+  readonly path: string;
+  readonly body: string;
+  readonly workflow: Workflow;
+  /** Attempts that are under way. */
+  openAttempts: number;
+  /** Whether an attempt ended without a refusal or before an answer. */
+  maybeStored: boolean;
+  /** Whether the caller has given up after refusals only. */
+  refused: boolean;
+  acceptedAt?: number;
+  cancelSentAt?: number;
+  cancelledAt?: number;
+  /** Final state that a caller was shown. */
+  finalState?: string;
+}
+
+/** Queues by name with their pools; each has the prefix "/NAME/". */
+export const QUEUES = new Map([
+  ['quotes', 'planner'],
+  ['orders', 'desk'],
+]);
+/** Failed runs of a task after which its workflow fails. */
+export const MAX_ATTEMPTS = 3;
+/** Host name that callers address. */
+export const AUTHORITY = 'soak.example';
+
+/** Draws a small workflow. */
+export function drawSubmission(random: Random, number: number): Submission {
+  const id = number.toString(16).padStart(16, '0');
+  const queue = random.pick([...QUEUES.keys()]);
+  const gangSize = random.chance(0.1) ? 2 : 0;
+  const workMs = random.between(50, 900);
+  const behaviour: TaskBehaviour = {
+    workMs,
+    cpuMillis: random.between(200, 3_000),
+    memoryMb: random.between(64, 2_048),
+    failures: random.chance(0.08) ? random.between(1, MAX_ATTEMPTS) : 0,
+    gangSize,
+  };
+  const stepCount = gangSize > 0 ? 1 : random.between(1, 3);
+  const steps = Array.from({length: stepCount}, (_, index) => ({
+    count: gangSize || random.between(1, 4),
+    cpu: behaviour.cpuMillis,
+    memMb: behaviour.memoryMb,
+    estimateMs: Math.round(workMs * (0.5 + random.next())),
+    ...(index > 0 ? {after: [index - 1]} : {}),
+    ...(gangSize > 0 ? {gang: true} : {}),
+  }));
+  const body = JSON.stringify({spec: JSON.stringify(behaviour), steps});
+  const draft = readDraft(body);
+  if (!draft) throw new Error('the soak drew an invalid workflow');
+  return {
+    id,
+    path: `/${queue}/${id}`,
+    body,
+    workflow: {
+      ...draft,
+      id,
+      queue,
+      pool: QUEUES.get(queue) ?? '',
+      priority: 0,
+      maxAttempts: MAX_ATTEMPTS,
+      stretch: 2,
+      targetDurationMs: 600,
+      acceptedAt: 0,
+    },
+    openAttempts: 0,
+    maybeStored: false,
+    refused: false,
+  };
+}
+
+/** Returns the names of all tasks of a workflow. */
+export function listTasks({id, steps}: Workflow): readonly string[] {
+  return steps.flatMap(({taskCount}, step) =>
+    Array.from({length: taskCount}, (_, index) => `${id}.0.${step}.${index}`),
+  );
+}
--- a/bench/workflows/entry_process.ts
+++ b/bench/workflows/entry_process.ts
@@ -17,8 +17,10 @@
   end(): Promise<void>;
 }
 
-const CALLER_PORT = 8_624;
-const READY_PORT = 8_622;
+/** Port for callers. */
+export const CALLER_PORT = 8_624;
+/** Port of the readiness check. */
+export const READY_PORT = 8_622;
 /** Interval between two readiness checks, in ms. */
 const READY_POLL_MS = 20;
 
@@ -38,7 +40,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'sesamefront-entry-'));
   const path = join(folder, 'node.conf');
   const ip = `127.0.0.${index + 1}`;
-  writeFileSync(path, writeSettings(platform, ip, index));
+  writeFileSync(path, writeEntrySettings(platform, ip, index));
   const child = spawn(process.execPath, [...nodeFlags, 'target/entry.cjs'], {
     stdio: ['ignore', 'ignore', 'inherit'],
     env: {...process.env, SESAMEFRONT_SETTINGS: path},
@@ -56,8 +58,15 @@
   };
 }
 
-function writeSettings(
-  platform: ExternalPlatform,
+/** Addresses of the platform's services as one entry host reaches them. */
+export type PlatformAddresses = Pick<
+  ExternalPlatform,
+  'storeAddress' | 'machinesAddress' | 'adviceAddress'
+>;
+
+/** Returns the text of an entry host's settings file. */
+export function writeEntrySettings(
+  platform: PlatformAddresses,
   ip: string,
   index: number,
 ): string {
--- a/src/stand_ins/external_platform/external_platform.ts
+++ b/src/stand_ins/external_platform/external_platform.ts
@@ -39,6 +39,13 @@
   readonly pools: ReadonlyMap<string, number>;
   readonly sparePool: string;
   readonly spareMachines: number;
+  /** Random numbers in [0, 1) that select the host calls with faults. */
+  readonly random?: () => number;
+  /**
+   * Returns the address that a host registers, given the one at which it
+   * listens; for a proxy in front of the host. The same by default.
+   */
+  readonly exposeHost?: (machine: string, address: string) => Promise<string>;
 }
 
 const CPU_MILLIS = 16_000;
@@ -57,6 +64,8 @@
   pools,
   sparePool,
   spareMachines,
+  random = Math.random,
+  exposeHost = (_machine, address) => Promise.resolve(address),
 }: ExternalPlatformOptions): Promise<ExternalPlatform> {
   const keyValue = createKeyValue();
   const servers: JsonServer[] = [];
@@ -68,7 +77,7 @@
     maxLeaseMs: MAX_LEASE_MS,
     moveMs: MOVE_MS,
     upkeepMs: UPKEEP_MS,
-    random: Math.random,
+    random,
     registry: {
       prefix: REGISTRY_PREFIX,
       write: host => writeEntry(host, addresses.get(host.machine) ?? ''),
@@ -86,7 +95,7 @@
     const api = createHostApi(hosts, () => fleet.getHost(machine)?.host.id);
     const server = await createJsonServer(api);
     servers.push(server);
-    addresses.set(machine, server.address);
+    addresses.set(machine, await exposeHost(machine, server.address));
     fleet.addMachine(pool, off);
   }
   const store = await createJsonServer(createStoreApi(keyValue));
--- a/src/stand_ins/external_platform/host_api.ts
+++ b/src/stand_ins/external_platform/host_api.ts
@@ -1,6 +1,8 @@
+import {Result} from 'true-myth';
 import {
   HoldReport,
   HostAnswer,
+  HostCallFailure,
   HostRefusal,
   TaskHosts,
 } from '../../ports/hosts';
@@ -45,15 +47,15 @@
           checkpoint: String(body.checkpointData ?? ''),
           ticket: String(body.ticket ?? ''),
         });
-        return answer.map(writeAnswer).unwrapOr({status: 421});
+        return send(answer, writeAnswer);
       }
       case '/-/run-stop': {
         const answer = await hosts.stop(host, order);
-        return answer.map(writeAnswer).unwrapOr({status: 421});
+        return send(answer, writeAnswer);
       }
       case '/-/pace': {
         const answer = await hosts.pace(host, order, Number(body.percent));
-        return answer.map(writeAnswer).unwrapOr({status: 421});
+        return send(answer, writeAnswer);
       }
       case '/-/hold': {
         const answer = await hosts.hold(host, {
@@ -63,7 +65,7 @@
             body.untilMs === undefined ? undefined : Number(body.untilMs),
           waitMs: Number(body.waitMs ?? 0),
         });
-        return answer.map(writeReport).unwrapOr({status: 421});
+        return send(answer, writeReport);
       }
       default:
         return {status: 400};
@@ -71,6 +73,16 @@
   };
 }
 
+/** Answers a call; a call whose answer is lost stays open. */
+function send<T>(
+  result: Result<T, HostCallFailure>,
+  write: (value: T) => JsonAnswer,
+): JsonAnswer | Promise<JsonAnswer> {
+  if (result.isOk) return write(result.value);
+  if (result.error === HostCallFailure.Replaced) return {status: 421};
+  return new Promise(() => {});
+}
+
 function writeAnswer({clockMs, refusal}: HostAnswer): JsonAnswer {
   if (refusal === undefined) return {status: 200, body: {clockMs}};
   return {status: 409, body: {clockMs, reason: REASONS[refusal]}};
--- a/src/stand_ins/external_platform/index.ts
+++ b/src/stand_ins/external_platform/index.ts
@@ -3,3 +3,5 @@
  * benches.
  */
 export * from './external_platform';
+export * from './json_server';
+export * from './store_api';
--- a/src/stand_ins/external_platform/json_server.ts
+++ b/src/stand_ins/external_platform/json_server.ts
@@ -1,4 +1,4 @@
-import {IncomingMessage, createServer} from 'node:http';
+import {IncomingMessage, ServerResponse, createServer} from 'node:http';
 import {AddressInfo} from 'node:net';
 
 /** A decoded HTTP request. */
@@ -34,7 +34,10 @@
 export async function createJsonServer(
   answer: (call: JsonCall) => JsonAnswer | Promise<JsonAnswer>,
 ): Promise<JsonServer> {
-  const server = createServer(async (request, response) => {
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const text = Buffer.concat(chunks).toString('utf8');
@@ -52,6 +55,11 @@
       'content-length': Buffer.byteLength(payload),
     });
     response.end(payload);
+  }
+
+  const server = createServer((request, response) => {
+    // A connection that breaks within a request ends that request only.
+    handle(request, response).catch(() => response.destroy());
   });
   await new Promise<void>(resolve => server.listen(0, LOOPBACK, resolve));
   const {port} = server.address() as AddressInfo;
--- a/src/stand_ins/platform/key_value.ts
+++ b/src/stand_ins/platform/key_value.ts
@@ -37,6 +37,8 @@
    * Counts the changes to keys under a top-level prefix, such as "claims/".
    */
   countWrites(prefix: string): number;
+  /** Discards the history of changes, so that older watches must list again. */
+  compact(): void;
   /** Returns a copy of all entries for a later restore. */
   backup(): readonly StoreEntry[];
   /**
@@ -223,6 +225,10 @@
       });
     },
     countWrites: prefix => writes.get(prefix) ?? 0,
+    compact() {
+      changes = [];
+      compactedTo = revision;
+    },
     backup: () => [...entries.values()],
     restore(backup) {
       for (const leaseId of [...leases.keys()]) endLease(leaseId);
