--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -3,11 +3,11 @@
 import {MachineState} from '../../src/types/workflow';
 import {BOUNDS} from './bounds';
 import {Disturbances} from './disturbances';
+import {Entry} from './entry';
 import {EntryRevival} from './entry_revival';
 import {Fault, FaultKind, LinkKind} from './fault';
 import {Link} from './link';
 import {Operator} from './operator';
-import {Plants} from './plant';
 import {POOLS, SoakSite} from './site';
 import {StoreServer} from './store_server';
 import {Check, Verdict} from './verdict';
@@ -19,7 +19,6 @@
   readonly revival: EntryRevival;
   readonly disturbances: Disturbances;
   readonly verdict: Verdict;
-  readonly plants: Plants;
 }
 
 /** Applies faults; each resolves when it is over. */
@@ -37,7 +36,6 @@
   revival,
   disturbances,
   verdict,
-  plants,
 }: FaultContext): ApplyFault {
   const {entries, stores, platform} = site;
   const {fleet, keyValue} = platform;
@@ -79,8 +77,16 @@
     return hold(fault, choose(all, fault), set);
   }
 
+  function pickEntry({target, wide}: Fault): Entry {
+    const leader = wide ? keyValue.get(LEADER_KEY)?.value : undefined;
+    return (
+      entries.find(({name}) => leader?.includes(name)) ??
+      entries[target % entries.length]
+    );
+  }
+
   async function stop(fault: Fault): Promise<void> {
-    const entry = entries[fault.target % entries.length];
+    const entry = pickEntry(fault);
     const sentAt = performance.now();
     const ended = await revival.stop(entry, fault.forMs / 4);
     const fromMs = sentAt - BOUNDS.contactMs;
@@ -91,18 +97,18 @@
     verdict.report(Check.PlannedStop, subject, detail);
   }
 
-  async function freeze({target, forMs}: Fault): Promise<void> {
-    const entry = entries[target % entries.length];
+  async function freeze(fault: Fault): Promise<void> {
+    const entry = pickEntry(fault);
     const {incarnation} = entry;
     entry.signal('SIGSTOP');
-    await delay(forMs);
+    await delay(fault.forMs);
     if (entry.incarnation === incarnation) entry.signal('SIGCONT');
   }
 
-  async function reload({target}: Fault): Promise<void> {
-    const entry = entries[target % entries.length];
+  async function reload(fault: Fault): Promise<void> {
+    const entry = pickEntry(fault);
     // A process that has not started yet has nothing to read again.
-    if (await entry.isReady()) entry.signal('SIGHUP');
+    if (await entry.isReady()) entry.reload();
   }
 
   function pickMachine({target}: Fault): string {
@@ -145,11 +151,7 @@
     if (isUnderWay) return;
     const pools = [...POOLS.keys()];
     const pool = pools[target % pools.length];
-    const {wave} = operator.declareWave(pool, (target % WAVE_CAP) + 1);
-    if (!plants.take(Check.Waves)) return;
-    const key = `status/wave/${wave}`;
-    const value = JSON.stringify({state: 'completed'});
-    keyValue.swap({key, expectedVersion: 0, value});
+    operator.declareWave(pool, (target % WAVE_CAP) + 1);
   }
 
   async function apply(fault: Fault): Promise<void> {
@@ -157,10 +159,7 @@
       case FaultKind.Terminate:
         return stop(fault);
       case FaultKind.Kill:
-        return revival.kill(
-          entries[fault.target % entries.length],
-          fault.forMs / 2,
-        );
+        return revival.kill(pickEntry(fault), fault.forMs / 2);
       case FaultKind.Freeze:
         return freeze(fault);
       case FaultKind.Reload:
@@ -194,7 +193,7 @@
           faults.delayedOrders = {share, afterMs: fault.forMs / 2};
         });
       case FaultKind.Configure:
-        return operator.configure(plants.take(Check.ConfigurationTime));
+        return operator.configure();
       case FaultKind.Wave:
         return declareWave(fault);
       default:
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -57,8 +57,11 @@
         const before = getIncarnation(entry);
         const sentAt = performance.now();
         const chunks: Buffer[] = [];
+        let finished = false;
 
         function finish(end: CallEnd, status = 0, retryAfterMs = 0): void {
+          if (finished) return;
+          finished = true;
           clearTimeout(timer);
           resolve(
             onCall({
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -30,8 +30,6 @@
   readonly verdict: Verdict;
   readonly plants: Plants;
   readonly random: Random;
-  /** Called with the id of each workflow when it was accepted. */
-  readonly onAccepted: (submission: Submission) => void;
 }
 
 const SUBMISSIONS_PER_SECOND = 6;
@@ -53,7 +51,6 @@
   verdict,
   plants,
   random,
-  onAccepted,
 }: CallersOptions): Callers {
   let stopped = false;
   let disposed = false;
@@ -89,7 +86,6 @@
         return {...record, status: REFUSED_STATUS[0], retryAfterMs: 1_000};
       }
       submission.acceptedAt = performance.now();
-      onAccepted(submission);
     } else if (UNKNOWN_STATUS.includes(record.status)) {
       submission.maybeStored = true;
     } else if (!REFUSED_STATUS.includes(record.status)) {
@@ -156,9 +152,11 @@
   function checkState(submission: Submission, record: CallRecord): void {
     const {id, acceptedAt = Infinity, cancelSentAt} = submission;
     history.follow();
-    if (record.status === 410 || record.status === 404) {
-      const isVisible = record.sentAt > acceptedAt + BOUNDS.visibleMs;
-      if (cancelSentAt !== undefined || !isVisible) return;
+    const isVisible = record.sentAt > acceptedAt + BOUNDS.visibleMs;
+    const isOwed = isVisible && cancelSentAt === undefined;
+    const isLost = record.status === 410 || record.status === 404;
+    if (isLost || (isOwed && plants.take(Check.Kept))) {
+      if (!isOwed) return;
       const detail = `${record.status} at entry ${record.entry + 1}`;
       return verdict.report(Check.Kept, id, detail);
     }
--- a/bench/soak/configuration_probe.ts
+++ b/bench/soak/configuration_probe.ts
@@ -79,7 +79,7 @@
     const subject = `entry ${entry + 1}, process ${incarnation}, version ${version}`;
     if (wasKnown) {
       const detail = `${path} is ${record.status} after it was known`;
-      verdict.report(Check.Configuration, subject, detail);
+      return verdict.report(Check.Configuration, subject, detail);
     }
     const dueAt = operator.getStoredAt(version) + BOUNDS.configApplyMs;
     const fromMs = sentAt - BOUNDS.contactMs;
--- a/bench/soak/entry.ts
+++ b/bench/soak/entry.ts
@@ -1,6 +1,6 @@
 import {ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {appendFileSync, createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {delay} from '../../src/state';
 import {
@@ -13,6 +13,7 @@
 /** An entry host whose process is signalled and started again. */
 export interface Entry {
   readonly index: number;
+  readonly name: string;
   /** Address and port for callers, without a proxy. */
   readonly callersAddress: string;
   /** Number of the process; grows with each start. */
@@ -21,6 +22,8 @@
   readonly stopping: boolean;
   start(): void;
   signal(signal: NodeJS.Signals): void;
+  /** Changes the settings file and announces it with SIGHUP. */
+  reload(): void;
   /** Kills the process as if it had ended by itself; a planted fault. */
   killUnasked(): void;
   /** Whether a process runs. */
@@ -85,6 +88,7 @@
 
   return {
     index,
+    name,
     callersAddress: `${ip}:${CALLER_PORT}`,
     get incarnation() {
       return incarnation;
@@ -97,6 +101,10 @@
       if (signal === 'SIGTERM' || signal === 'SIGKILL') stopping = true;
       child?.kill(signal);
     },
+    reload() {
+      appendFileSync(settings, `changed=${performance.now()}\n`);
+      child?.kill('SIGHUP');
+    },
     killUnasked: () => void child?.kill('SIGKILL'),
     isRunning: () => child !== undefined,
     async awaitExit(withinMs) {
--- a/bench/soak/fault.ts
+++ b/bench/soak/fault.ts
@@ -46,7 +46,10 @@
   readonly target: number;
   /** Which of the target's links; set for faults of links. */
   readonly link?: LinkKind;
-  /** Whether all targets are hit instead of one. */
+  /**
+   * Whether all targets are hit instead of one; for signals, whether the leader
+   * is.
+   */
   readonly wide: boolean;
   /** Delay in ms or share in percent, where the kind has one. */
   readonly amount: number;
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -10,7 +10,7 @@
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
 import {Fault} from './fault';
-import {planFaults} from './plan_faults';
+import {planCalm, planFaults} from './plan_faults';
 import {createRandom} from './random';
 import {SoakResult, runSoak} from './run';
 import {shrinkFaults} from './shrink';
@@ -30,9 +30,7 @@
 });
 const seed = Number(values.seed);
 const planted = readChecks(values.plant);
-const faults: readonly Fault[] = values.faults
-  ? JSON.parse(readFileSync(values.faults, 'utf8'))
-  : planFaults(createRandom(seed), Number(values.minutes) * MINUTE_MS);
+const faults = chooseFaults();
 let disposeRunning = async () => {};
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
   process.on(signal, () => {
@@ -52,6 +50,15 @@
 await keep(result);
 process.exit(1);
 
+function chooseFaults(): readonly Fault[] {
+  if (values.faults) return JSON.parse(readFileSync(values.faults, 'utf8'));
+  const random = createRandom(seed);
+  // Planted faults are played alone, so that nothing excuses them.
+  return planted.length > 0
+    ? planCalm(random)
+    : planFaults(random, Number(values.minutes) * MINUTE_MS);
+}
+
 function readChecks(text: string): readonly Check[] {
   if (text === 'all') return Object.values(Check);
   return Object.values(Check).filter(check => text.split(',').includes(check));
--- a/bench/soak/plan_faults.ts
+++ b/bench/soak/plan_faults.ts
@@ -33,6 +33,7 @@
 const STORM_MS = 5_000;
 /** Share of faults that hit all targets. */
 const WIDE_SHARE = 0.25;
+const CALM_MS = 4_500;
 const MAX_TARGET = 1_000;
 
 /**
@@ -61,7 +62,7 @@
       if (SIGNALS.includes(fault.kind) && random.chance(0.4)) {
         const secondMs = startMs + random.between(20, 900);
         const second = drawFault(random, random.pick(SIGNALS), secondMs);
-        faults.push({...second, target: fault.target});
+        faults.push({...second, target: fault.target, wide: fault.wide});
       }
     }
     const endMs = Math.max(...faults.map(fault => fault.atMs + fault.forMs));
@@ -70,6 +71,11 @@
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Draws a list of planned work that leaves time for all checks. */
+export function planCalm(random: Random): readonly Fault[] {
+  return [drawFault(random, FaultKind.Reload, CALM_MS)];
+}
+
 function drawKind(random: Random): FaultKind {
   const group = random.pick([
     LINK_FAULTS,
--- a/bench/soak/plant.ts
+++ b/bench/soak/plant.ts
@@ -1,10 +1,9 @@
-import {
-  LEADER_KEY,
-  getStateKey,
-  getWorkKey,
-} from '../../src/actors/workflows/keys';
+import {LEADER_KEY} from '../../src/actors/workflows/keys';
 import {ExternalPlatform} from '../../src/stand_ins/external_platform';
+import {BOUNDS} from './bounds';
 import {CallRecord} from './caller';
+import {Operator} from './operator';
+import {POOLS} from './site';
 import {CallEnd, Submission} from './submission';
 import {Check} from './verdict';
 
@@ -23,12 +22,6 @@
   return {take: check => left.delete(check)};
 }
 
-/** Removes an accepted workflow from the store. */
-export function loseWorkflow({keyValue}: ExternalPlatform, id: string): void {
-  const removals = [getWorkKey(id), getStateKey(id)];
-  keyValue.transact({conditions: new Map(), puts: [], removals});
-}
-
 /** Starts a second run of a task that runs; returns whether there was one. */
 export async function doubleRun(
   {fleet, keyValue}: ExternalPlatform,
@@ -61,6 +54,17 @@
 
 /** Makes an answered call look as if its connection had ended. */
 export function cutAnswer(record: CallRecord): CallRecord {
-  const sentAt = record.sentAt - 1_000;
+  const sentAt = record.sentAt - 2 * BOUNDS.lossSlackMs;
   return {...record, sentAt, end: CallEnd.Cut, status: 0, body: {}};
 }
+
+/** Reports a wave as completed that has just been declared. */
+export function completeWaveEarly(
+  {keyValue}: ExternalPlatform,
+  operator: Operator,
+): void {
+  const [pool] = POOLS.keys();
+  const key = `status/wave/${operator.declareWave(pool, 1).wave}`;
+  const value = JSON.stringify({state: 'completed'});
+  keyValue.swap({key, expectedVersion: 0, value});
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -9,7 +9,7 @@
 import {createEntryRevival} from './entry_revival';
 import {Fault, LinkKind} from './fault';
 import {createOperator} from './operator';
-import {createPlants, cutAnswer, doubleRun, loseWorkflow} from './plant';
+import {completeWaveEarly, createPlants, cutAnswer, doubleRun} from './plant';
 import {createRandom} from './random';
 import {createRunHistory} from './run_history';
 import {createSoakSite} from './site';
@@ -46,6 +46,9 @@
 /** Delay of the soak's own timers above which it excuses late answers, in ms. */
 const MAX_LAG_MS = 100;
 
+/** By how much a planted failure of the recovery is found sooner. */
+const PLANTED_HASTE = 12;
+
 /** Plays a fault list against fresh entry hosts and checks the promises. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const {seed, faults, folder, entryCount, progress} = options;
@@ -76,14 +79,16 @@
   });
   let calls = 0;
   let unanswered = 0;
+  let calmCalls = 0;
   const caller = createCaller({
     addresses: links[LinkKind.Callers].map(({address}) => address),
     getIncarnation: entry => entries[entry].incarnation,
     onCall(answered) {
       const isCalm = disturbances.isCalm(
-        answered.sentAt - BOUNDS.contactMs - 1_000,
+        answered.sentAt - BOUNDS.contactMs,
         answered.endedAt,
       );
+      if (isCalm) calmCalls += 1;
       const record =
         !ended && isCalm && plants.take(Check.PlannedStop)
           ? cutAnswer(answered)
@@ -101,9 +106,6 @@
   const shared = {caller, entryCount, disturbances, verdict, plants, random};
   const callers = createCallers({
     ...{...shared, submissions, history},
-    onAccepted({id}) {
-      if (plants.take(Check.Kept)) loseWorkflow(platform, id);
-    },
   });
   const stops: (() => void)[] = [];
 
@@ -122,6 +124,7 @@
     ended = true;
     for (const stop of stops) stop();
     callers.dispose();
+    history.dispose();
     caller.dispose();
     await site.dispose();
   }
@@ -136,8 +139,8 @@
     });
   }
 
-  async function awaitEachReady(): Promise<readonly number[]> {
-    const endsAt = performance.now() + BOUNDS.recoveryMs;
+  async function awaitEachReady(withinMs: number): Promise<readonly number[]> {
+    const endsAt = performance.now() + withinMs;
     const missing = new Set(entries.keys());
     while (missing.size > 0 && performance.now() < endsAt) {
       for (const index of [...missing]) {
@@ -151,9 +154,9 @@
   }
 
   async function plantInRuns(): Promise<void> {
-    if (plants.take(Check.Processes)) {
-      entries[0].killUnasked();
-    }
+    if (plants.take(Check.Processes)) entries[0].killUnasked();
+    if (plants.take(Check.ConfigurationTime)) operator.configure(true);
+    if (plants.take(Check.Waves)) completeWaveEarly(platform, operator);
     if (!plants.take(Check.Runs)) return;
     while (!(await doubleRun(platform, submissions))) {
       await delay(FOLLOW_INTERVAL_MS);
@@ -162,7 +165,7 @@
 
   options.onStarted(dispose);
   for (const entry of entries) void revival.revive(entry, 0);
-  const unready = await awaitEachReady();
+  const unready = await awaitEachReady(BOUNDS.recoveryMs);
   for (const index of unready) {
     verdict.report(Check.Recovery, `entry ${index + 1}`, 'is not ready');
   }
@@ -174,7 +177,7 @@
   every(CHECK_INTERVAL_MS, () => history.checkAll());
   watchOwnLag();
   const apply = createFaultApplier({
-    ...{site, operator, revival, disturbances, verdict, plants},
+    ...{site, operator, revival, disturbances, verdict},
   });
   void plantInRuns();
   await Promise.all(
@@ -186,11 +189,16 @@
   progress(
     `last fault over after ${Math.round(performance.now() - startedAt)} ms`,
   );
-  if (plants.take(Check.Recovery)) entries[entryCount - 1].signal('SIGSTOP');
-  for (const index of await awaitEachReady()) {
-    const detail = `serves nothing ${BOUNDS.recoveryMs} ms after the last fault`;
+  const isRecoveryPlanted = plants.take(Check.Recovery);
+  if (isRecoveryPlanted) entries[0].signal('SIGSTOP');
+  const recoveryMs = isRecoveryPlanted
+    ? BOUNDS.recoveryMs / PLANTED_HASTE
+    : BOUNDS.recoveryMs;
+  for (const index of await awaitEachReady(recoveryMs)) {
+    const detail = `serves nothing ${recoveryMs} ms after the last fault`;
     verdict.report(Check.Recovery, `entry ${index + 1}`, detail);
   }
+  if (isRecoveryPlanted) entries[0].signal('SIGCONT');
   progress(`all serve after ${Math.round(performance.now() - startedAt)} ms`);
   callers.stop();
   const finishBy = performance.now() + BOUNDS.finishMs;
@@ -210,6 +218,7 @@
     seconds: Math.round((performance.now() - startedAt) / 1_000),
     calls,
     unanswered,
+    calmCalls,
     submissions: submissions.size,
     completed: count('completed'),
     failed: count('failed'),
--- a/bench/soak/run_history.ts
+++ b/bench/soak/run_history.ts
@@ -25,6 +25,8 @@
   hasFailed(submission: Submission): boolean;
   hasStarted(id: string): boolean;
   countStarts(): number;
+  /** Stops following the reports of waves. */
+  dispose(): void;
 }
 
 /** Options of a run history. */
@@ -49,6 +51,9 @@
   FaultKind.HostDrain,
 ]);
 
+const REPORT_PREFIX = 'status/wave/';
+const REPORT_WAIT_MS = 1_000;
+
 /** Creates a history that has read no event yet. */
 export function createRunHistory({
   platform,
@@ -64,6 +69,7 @@
   const serviced = new Map<string, number>();
   let read = 0;
   let starts = 0;
+  let disposed = false;
 
   function isExcused({kind, subject, at}: RunViolation): boolean {
     if (!TIMED_KINDS.has(kind)) return false;
@@ -74,7 +80,7 @@
   }
 
   function checkWaves(): void {
-    for (const {wave, machines, cap, declaredAt} of waves) {
+    for (const {wave, machines, cap} of waves) {
       const down = machines.filter(
         each =>
           platform.fleet.machines.get(each)?.state === MachineState.Maintenance,
@@ -83,42 +89,65 @@
         const detail = `${down.join(', ')} are down, of which ${cap} may be`;
         verdict.report(Check.Waves, `limit of wave ${wave}`, detail);
       }
-      if (platform.readWaveState(wave) !== 'completed') continue;
-      const missing = machines.filter(
-        machine => !((serviced.get(machine) ?? 0) > declaredAt),
+    }
+  }
+
+  /** Checks each report of a wave as it is written. */
+  async function watchReports(): Promise<void> {
+    const {keyValue} = platform;
+    let {revision} = keyValue.list(REPORT_PREFIX);
+    while (!disposed) {
+      const seen = await keyValue.watch(
+        REPORT_PREFIX,
+        revision,
+        REPORT_WAIT_MS,
       );
-      if (missing.length > 0) {
-        const detail = `completed without ${missing.join(', ')}`;
-        verdict.report(Check.Waves, `wave ${wave}`, detail);
+      revision = seen.revision;
+      for (const {key, entry} of seen.changes) {
+        if (entry?.value.includes('completed')) checkCompleted(key);
       }
     }
   }
 
-  return {
-    follow() {
-      for (; read < events.length; read += 1) {
-        const {kind, task, how, at, hostId} = events[read];
-        const [id] = task.split('.');
-        if (kind === FleetEventKind.Start) {
-          starts += 1;
-          started.add(id);
-          if (submissions.get(id)?.refused) {
-            verdict.report(Check.Refusals, id, `started on ${hostId}`);
-          }
-        }
-        if (kind === FleetEventKind.End && how === TaskEndKind.Done) {
-          done.add(task);
-        }
-        if (kind === FleetEventKind.End && how === TaskEndKind.Failed) {
-          failures.set(task, (failures.get(task) ?? 0) + 1);
-        }
-        if (kind === FleetEventKind.Order) {
-          const [state, machine] = task.split(' ');
-          if (state === MachineState.Maintenance) serviced.set(machine, at);
+  function checkCompleted(key: string): void {
+    follow();
+    const declared = waves.find(({wave}) => key === `${REPORT_PREFIX}${wave}`);
+    const missing = declared?.machines.filter(
+      machine => !((serviced.get(machine) ?? 0) > declared.declaredAt),
+    );
+    if (missing?.length === 0) return;
+    const detail = `completed without ${missing?.join(', ')}`;
+    verdict.report(Check.Waves, key, detail);
+  }
+
+  function follow(): void {
+    for (; read < events.length; read += 1) {
+      const {kind, task, how, at, hostId} = events[read];
+      const [id] = task.split('.');
+      if (kind === FleetEventKind.Start) {
+        starts += 1;
+        started.add(id);
+        if (submissions.get(id)?.refused) {
+          verdict.report(Check.Refusals, id, `started on ${hostId}`);
         }
       }
-      checkWaves();
-    },
+      if (kind === FleetEventKind.End && how === TaskEndKind.Done) {
+        done.add(task);
+      }
+      if (kind === FleetEventKind.End && how === TaskEndKind.Failed) {
+        failures.set(task, (failures.get(task) ?? 0) + 1);
+      }
+      if (kind === FleetEventKind.Order) {
+        const [state, machine] = task.split(' ');
+        if (state === MachineState.Maintenance) serviced.set(machine, at);
+      }
+    }
+    checkWaves();
+  }
+
+  void watchReports();
+  return {
+    follow,
     checkAll() {
       const cancelledAt = new Map<string, number>();
       for (const {id, cancelledAt: at} of submissions.values()) {
@@ -147,5 +176,8 @@
       ),
     hasStarted: id => started.has(id),
     countStarts: () => starts,
+    dispose() {
+      disposed = true;
+    },
   };
 }
