--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -202,7 +202,7 @@
   }
 
   return async fault => {
-    const end = disturbances.begin(fault.kind, fault.target);
+    const end = disturbances.begin(fault.kind);
     await apply(fault);
     end();
   };
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -1,4 +1,5 @@
 import {Agent, request} from 'node:http';
+import {Entry} from './entry';
 import {AUTHORITY, CallEnd} from './submission';
 
 /** A call to an entry host, as its caller saw it. */
@@ -6,6 +7,10 @@
   readonly entry: number;
   /** Number of the entry host's process at the start and end of the call. */
   readonly incarnations: readonly [number, number];
+  /** Whether a process served when the call was sent. */
+  readonly served: boolean;
+  /** Whether no fault was active near the call. */
+  readonly calm: boolean;
   /** Monotonic times in ms. */
   readonly sentAt: number;
   readonly endedAt: number;
@@ -31,7 +36,11 @@
 export interface CallerOptions {
   /** Addresses of the entry hosts by index. */
   readonly addresses: readonly string[];
-  readonly getIncarnation: (entry: number) => number;
+  readonly getProcess: (
+    entry: number,
+  ) => Pick<Entry, 'incarnation' | 'isServing'>;
+  /** Returns whether no fault was active near a span of time. */
+  readonly isCalm: (fromMs: number, toMs: number) => boolean;
   /** Called with each call that has ended; may replace it. */
   readonly onCall: (record: CallRecord) => CallRecord;
 }
@@ -43,7 +52,8 @@
 /** Creates a caller of all entry hosts. */
 export function createCaller({
   addresses,
-  getIncarnation,
+  getProcess,
+  isCalm,
   onCall,
 }: CallerOptions): Caller {
   const agents = addresses.map(
@@ -54,7 +64,8 @@
     call: (entry, method, path, body) =>
       new Promise(resolve => {
         const [host, port] = addresses[entry].split(':');
-        const before = getIncarnation(entry);
+        const before = getProcess(entry).incarnation;
+        const served = getProcess(entry).isServing();
         const sentAt = performance.now();
         const chunks: Buffer[] = [];
         let finished = false;
@@ -63,12 +74,15 @@
           if (finished) return;
           finished = true;
           clearTimeout(timer);
+          const endedAt = performance.now();
           resolve(
             onCall({
               entry,
-              incarnations: [before, getIncarnation(entry)],
+              incarnations: [before, getProcess(entry).incarnation],
+              served,
               sentAt,
-              endedAt: performance.now(),
+              endedAt,
+              calm: isCalm(sentAt, endedAt),
               end,
               status,
               body: end === CallEnd.Answered ? parse(chunks) : {},
--- a/bench/soak/entry.ts
+++ b/bench/soak/entry.ts
@@ -31,6 +31,8 @@
   /** Resolves to whether the process has ended within the time. */
   awaitExit(withinMs: number): Promise<boolean>;
   isReady(): Promise<boolean>;
+  /** Whether the process runs and was ready once. */
+  isServing(): boolean;
   /** Returns the peak memory of the process in MB; 0 if none runs. */
   dispose(): Promise<void>;
 }
@@ -63,10 +65,12 @@
   let child: ChildProcess | undefined;
   let incarnation = 0;
   let stopping = false;
+  let serving = false;
 
   function start(): void {
     incarnation += 1;
     stopping = false;
+    serving = false;
     const started = spawn(process.execPath, ['target/entry.cjs'], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, SESAMEFRONT_SETTINGS: settings},
@@ -119,8 +123,10 @@
       const answer = await fetch(`http://${ip}:${READY_PORT}/-/ready`, {
         signal: AbortSignal.timeout(READY_TIMEOUT_MS),
       }).catch(() => undefined);
+      serving ||= answer?.status === 200;
       return answer?.status === 200;
     },
+    isServing: () => serving && child !== undefined,
     async dispose() {
       stopping = true;
       const running = child;
--- a/bench/soak/run_history.ts
+++ b/bench/soak/run_history.ts
@@ -5,7 +5,7 @@
 } from '../../src/history/workflows';
 import {ExternalPlatform} from '../../src/stand_ins/external_platform';
 import {FleetEventKind} from '../../src/stand_ins/fleet';
-import {MachineState, TaskEndKind} from '../../src/types/workflow';
+import {MachineState, TaskEndKind, Workflow} from '../../src/types/workflow';
 import {BOUNDS} from './bounds';
 import {Disturbances} from './disturbances';
 import {FaultKind} from './fault';
@@ -21,7 +21,7 @@
   checkAll(): void;
   /** Whether all tasks of a workflow have been done. */
   isDone(submission: Submission): boolean;
-  /** Whether a task of a workflow failed as often as it may. */
+  /** Whether a task or gang of a workflow failed as often as it may. */
   hasFailed(submission: Submission): boolean;
   hasStarted(id: string): boolean;
   countStarts(): number;
@@ -135,7 +135,8 @@
         done.add(task);
       }
       if (kind === FleetEventKind.End && how === TaskEndKind.Failed) {
-        failures.set(task, (failures.get(task) ?? 0) + 1);
+        const unit = getAttemptUnit(task, submissions.get(id)?.workflow);
+        failures.set(unit, (failures.get(unit) ?? 0) + 1);
       }
       if (kind === FleetEventKind.Order) {
         const [state, machine] = task.split(' ');
@@ -172,7 +173,9 @@
     isDone: ({workflow}) => listTasks(workflow).every(task => done.has(task)),
     hasFailed: ({workflow}) =>
       listTasks(workflow).some(
-        task => (failures.get(task) ?? 0) >= workflow.maxAttempts,
+        task =>
+          (failures.get(getAttemptUnit(task, workflow)) ?? 0) >=
+          workflow.maxAttempts,
       ),
     hasStarted: id => started.has(id),
     countStarts: () => starts,
@@ -181,3 +184,9 @@
     },
   };
 }
+
+/** Returns what attempts are counted for: a gang, or a single task. */
+function getAttemptUnit(task: string, workflow: Workflow | undefined): string {
+  const step = workflow?.steps[Number(task.split('.')[2])];
+  return step?.gang ? task.slice(0, task.lastIndexOf('.')) : task;
+}
