--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,12 +1,17 @@
 import {
   HostRoom,
+  NO_CAPACITY,
+  OrganisationUsage,
   PlacedTask,
   PlacementCandidate,
   PlacementPass,
   RunTimes,
   TaskPhase,
   TaskRecord,
+  WaveLimits,
   WorkflowRecord,
+  addTasks,
+  countWaves,
   createCandidateOrder,
   createPlacement,
   createReservations,
@@ -22,6 +27,7 @@
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {
+  Capacity,
   Organisation,
   Step,
   Workflow,
@@ -45,8 +51,14 @@
   readonly sessions: HostSessions;
   readonly tickets: TicketCache;
   readonly runTimes: RunTimes;
-  /** Returns the configured organisations by name. */
-  readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /**
+   * Returns the configured organisations by name; undefined if no configuration
+   * was read yet.
+   */
+  readonly getOrganisations: () =>
+    ReadonlyMap<string, Organisation> | undefined;
+  /** What may be running of each organisation. */
+  readonly usage: OrganisationUsage;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -65,6 +77,7 @@
   tickets,
   runTimes,
   getOrganisations,
+  usage,
   store,
   unixNow,
   log,
@@ -72,12 +85,15 @@
   function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
     const byPool = new Map<string, PlacementCandidate[]>();
+    const capacities = measurePools();
     for (const record of records.values()) {
       if (isFinal(record.state)) continue;
       const groups = listReadyGroups(record, now).filter(hasWaiting);
       if (groups.length === 0) continue;
       const {workflow} = record;
-      const expect = (step: Step) => runTimes.estimate(workflow.queue, step);
+      const waveLimits = getWaveLimits(workflow, capacities);
+      const expect = (step: Step) =>
+        runTimes.estimate(workflow.queue, step) * countWaves(step, waveLimits);
       const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
       const occurrence = getFirstUnfinishedOccurrence(record);
       const remainingSteps = workflow.steps.map((step, index) =>
@@ -103,10 +119,34 @@
     return byPool;
   }
 
+  /**
+   * Returns what limits the width of a workflow's steps; nothing without
+   * organisations.
+   */
+  function getWaveLimits(
+    {organisation = '', pool}: Workflow,
+    capacities: ReadonlyMap<string, Capacity>,
+  ): WaveLimits {
+    const cap = getOrganisations()?.get(organisation)?.cap;
+    return {room: capacities.get(pool), cap};
+  }
+
+  /** Returns the capacity of each pool if there are organisations. */
+  function measurePools(): ReadonlyMap<string, Capacity> {
+    const capacities = new Map<string, Capacity>();
+    if (!getOrganisations()?.size) return capacities;
+    for (const {room} of sessions.all.values()) {
+      const {pool, capacity} = room.host;
+      const before = capacities.get(pool) ?? NO_CAPACITY;
+      capacities.set(pool, addTasks(before, capacity, 1));
+    }
+    return capacities;
+  }
+
   function placePool(pass: PlacementPass): void {
     const {rooms} = pass;
     const order = createCandidateOrder(pass);
-    const limit = createStartLimit();
+    const limit = createStartLimit({organisations: getOrganisations(), usage});
     const reservations = createReservations();
     const unplaceable = createUnplaceableSizes();
 
@@ -125,6 +165,7 @@
         room => isAdvised(room) && reservations.mayUse(waiting[0], room),
         unplaceable,
       );
+      limit.take(placed.map(({task}) => task));
       if (gang && placed.length > 0) alignRuns(placed);
       if (placed.length < waiting.length) {
         requestTickets(workflow, waiting, rooms);
@@ -211,7 +252,8 @@
           rooms: usable.map(session => session.room),
           candidates,
           runTimes,
-          organisations: getOrganisations(),
+          organisations: getOrganisations() ?? new Map(),
+          usage,
         });
       }
     },
