Soak: callers of organisations, keys that come and go, caps

Cause: the keys and caps of organisations were checked on the paused clock only. Change: callers belong to three organisations or use a public queue; each configuration replaces their keys and changes a cap; probes use keys that only some versions hold, and one that none holds; starts are counted against the highest cap that may be in force.

--- a/bench/soak/bounds.ts
+++ b/bench/soak/bounds.ts
@@ -20,6 +20,8 @@
   graceMs: 6_000,
   /** A request that a stopping process has not read may be cut this soon. */
   lossSlackMs: 200,
+  /** Share above an organisation's cap that a start may reach. */
+  capOverage: 0.1,
   /** Every entry host serves again after the last fault. */
   recoveryMs: 12_000,
   /** Accepted workflows have ended after the load and the faults. */
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -27,7 +27,7 @@
     entry: number,
     method: string,
     path: string,
-    body?: string,
+    options?: {readonly body?: string; readonly key?: string},
   ): Promise<CallRecord>;
   dispose(): void;
 }
@@ -61,7 +61,7 @@
   );
 
   return {
-    call: (entry, method, path, body) =>
+    call: (entry, method, path, {body, key} = {}) =>
       new Promise(resolve => {
         const [host, port] = addresses[entry].split(':');
         const before = getProcess(entry).incarnation;
@@ -98,6 +98,7 @@
             host: AUTHORITY,
             'content-type': 'application/json',
             'x-deadline-ms': DEADLINE_MS,
+            ...(key === undefined ? {} : {authorization: `Bearer ${key}`}),
           },
         });
         const timer = setTimeout(() => {
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -2,6 +2,8 @@
 import {BOUNDS} from './bounds';
 import {CallRecord, Caller} from './caller';
 import {Disturbances} from './disturbances';
+import {Operator} from './operator';
+import {listKeys} from './organisations';
 import {Plants} from './plant';
 import {Random} from './random';
 import {RunHistory} from './run_history';
@@ -25,6 +27,7 @@
 export interface CallersOptions {
   readonly caller: Caller;
   readonly entryCount: number;
+  readonly operator: Operator;
   readonly submissions: Map<string, Submission>;
   readonly history: RunHistory;
   readonly verdict: Verdict;
@@ -40,13 +43,14 @@
 /** Answers after which it is not known whether the call had an effect. */
 const UNKNOWN_STATUS = [0, 502, 504];
 const HALF_SENT_STATUS = 408;
-const REFUSED_STATUS = [429, 503];
+const REFUSED_STATUS = [401, 429, 503];
 const CANCELLED_STATUS = [200, 410];
 
 /** Creates callers that submit nothing yet. */
 export function createCallers({
   caller,
   entryCount,
+  operator,
   submissions,
   history,
   verdict,
@@ -59,6 +63,20 @@
 
   const pickEntry = () => random.between(0, entryCount - 1);
 
+  /** Returns a key that the latest configuration holds. */
+  function pickKey({organisation}: Submission): string | undefined {
+    const keys = organisation && listKeys(organisation.name, operator.version);
+    return keys && random.pick(keys);
+  }
+
+  function callOwn(
+    submission: Submission,
+    method: string,
+  ): Promise<CallRecord> {
+    const key = pickKey(submission);
+    return caller.call(pickEntry(), method, submission.path, {key});
+  }
+
   function listUnfinished(): readonly Submission[] {
     return [...submissions.values()].filter(
       ({acceptedAt, finalState}) =>
@@ -79,7 +97,8 @@
   ): Promise<CallRecord> {
     submission.openAttempts += 1;
     const {path, body, id} = submission;
-    const record = await caller.call(entry, 'POST', path, body);
+    const key = pickKey(submission);
+    const record = await caller.call(entry, 'POST', path, {body, key});
     submission.openAttempts -= 1;
     if (record.status === 200) {
       if (submission.acceptedAt !== undefined) return record;
@@ -121,15 +140,12 @@
     if (random.chance(0.1)) void repeat(submission);
     while (submission.finalState === undefined && !disposed) {
       await delay(random.between(300, 1_000));
-      checkState(
-        submission,
-        await caller.call(pickEntry(), 'GET', submission.path),
-      );
+      checkState(submission, await callOwn(submission, 'GET'));
     }
     // A final state stays, also at another entry host.
     await delay(random.between(100, 2_000));
     if (disposed) return;
-    const record = await caller.call(pickEntry(), 'GET', submission.path);
+    const record = await callOwn(submission, 'GET');
     checkState(submission, record);
   }
 
@@ -142,8 +158,7 @@
     await delay(random.between(20, 1_200));
     while (submission.cancelledAt === undefined && !disposed) {
       submission.cancelSentAt ??= performance.now();
-      const {path} = submission;
-      const record = await caller.call(pickEntry(), 'DELETE', path);
+      const record = await callOwn(submission, 'DELETE');
       if (CANCELLED_STATUS.includes(record.status)) {
         submission.cancelledAt = performance.now();
       } else await delay(random.between(100, 600));
--- a/bench/soak/configuration_probe.ts
+++ b/bench/soak/configuration_probe.ts
@@ -3,8 +3,10 @@
 import {Disturbances} from './disturbances';
 import {FaultKind} from './fault';
 import {Operator} from './operator';
+import {UNKNOWN_KEY} from './organisations';
 import {Plants} from './plant';
 import {Random} from './random';
+import {QUEUES} from './submission';
 import {Check, Verdict} from './verdict';
 
 /** Options of a configuration probe. */
@@ -32,10 +34,13 @@
   FaultKind.Wave,
 ]);
 const PROBE_INTERVAL_MS = 60;
+const UNKNOWN_KEY_SHARE = 0.1;
+/** Queue whose callers need a key. */
+const [KEYED_QUEUE] = QUEUES.keys();
 
 /**
- * Asks entry hosts for routes that only some versions of the configuration have,
- * until it is disposed.
+ * Asks entry hosts for routes, and with keys, that only some versions of the
+ * configuration have, until it is disposed.
  *
  * @returns a function that ends the probing
  */
@@ -54,13 +59,16 @@
     const entry = random.between(0, entryCount - 1);
     const latest = operator.version;
     const version = Math.max(1, latest - random.between(0, 1));
-    // The version either added the route or dropped it.
+    // The version either added the route and the key or dropped them.
     const added = random.chance(0.5);
-    const path = `/${added ? 'from' : 'until'}-${version}/`;
-    const record = await caller.call(entry, 'GET', path);
+    const name = `${added ? 'from' : 'until'}-${version}`;
+    const [path, key] = random.chance(0.5)
+      ? [`/${name}/`, undefined]
+      : [`/${KEYED_QUEUE}/`, name];
+    const record = await caller.call(entry, 'GET', path, {key});
     const [incarnation, after] = record.incarnations;
     if (incarnation !== after) return;
-    if (record.status !== 200 && record.status !== 404) return;
+    if (![200, 401, 404].includes(record.status)) return;
     if (shown[entry]?.incarnation !== incarnation) {
       shown[entry] = {incarnation, shownAt: new Map()};
     }
@@ -78,7 +86,7 @@
     }
     const subject = `entry ${entry + 1}, process ${incarnation}, version ${version}`;
     if (wasKnown) {
-      const detail = `${path} is ${record.status} after it was known`;
+      const detail = `${path} with key ${key} is ${record.status} after it was known`;
       return verdict.report(Check.Configuration, subject, detail);
     }
     const dueAt = operator.getStoredAt(version) + BOUNDS.configApplyMs;
@@ -91,6 +99,18 @@
     verdict.report(Check.ConfigurationTime, subject, detail);
   }
 
-  const timer = setInterval(() => void probe(), PROBE_INTERVAL_MS);
+  async function probeUnknownKey(): Promise<void> {
+    const entry = random.between(0, entryCount - 1);
+    const path = `/${KEYED_QUEUE}/`;
+    const record = await caller.call(entry, 'GET', path, {key: UNKNOWN_KEY});
+    if (record.status !== 200 && !plants.take(Check.Keys)) return;
+    const detail = 'answered a key that no configuration ever held';
+    verdict.report(Check.Keys, `entry ${entry + 1}`, detail);
+  }
+
+  const timer = setInterval(
+    () => void (random.chance(UNKNOWN_KEY_SHARE) ? probeUnknownKey() : probe()),
+    PROBE_INTERVAL_MS,
+  );
   return () => clearInterval(timer);
 }
--- a/bench/soak/entry.ts
+++ b/bench/soak/entry.ts
@@ -48,6 +48,8 @@
   readonly onUnexpectedExit: (index: number) => void;
 }
 
+/** Callers belong to organisations, which have keys and caps. */
+const CONTRACTS = ['tenants', 'quota', 'pressure'];
 const READY_TIMEOUT_MS = 500;
 
 /** Creates an entry host; the caller starts it. */
@@ -60,7 +62,7 @@
 }: EntryOptions): Entry {
   const name = `entry-${index + 1}`;
   const settings = join(folder, `${name}.conf`);
-  writeFileSync(settings, writeEntrySettings(platform, ip, index));
+  writeFileSync(settings, writeEntrySettings(platform, ip, index, CONTRACTS));
   const log = createWriteStream(join(folder, `${name}.log`));
   let child: ChildProcess | undefined;
   let incarnation = 0;
--- a/bench/soak/operator.ts
+++ b/bench/soak/operator.ts
@@ -1,6 +1,8 @@
 import {ExternalPlatform} from '../../src/stand_ins/external_platform';
-import {AUTHORITY, MAX_ATTEMPTS, QUEUES} from './submission';
+import {BOUNDS} from './bounds';
+import {ORGANISATIONS, SoakOrganisation, listKeys} from './organisations';
 import {POOLS, SPARE_POOL} from './site';
+import {AUTHORITY, MAX_ATTEMPTS, PUBLIC_QUEUE, QUEUES} from './submission';
 
 /** The operator, who changes the configuration and declares waves. */
 export interface Operator {
@@ -9,13 +11,15 @@
   /** Monotonic time in ms at which a version was stored. */
   getStoredAt(version: number): number;
   /**
-   * Stores the next configuration, which adds the route `/from-VERSION/` and
-   * drops the route `/until-VERSION/`.
+   * Stores the next configuration, which adds the route and key `from-VERSION`,
+   * drops the route and key `until-VERSION`, and replaces callers' keys.
    *
    * @param lost whether the store loses it although the operator believes
    *     that it is stored; a planted fault
    */
   configure(lost?: boolean): void;
+  /** Returns the highest cap that may be in force; 0 if there is none. */
+  getCap(organisation: SoakOrganisation): number;
   declareWave(pool: string, cap: number): DeclaredWave;
   readonly waves: readonly DeclaredWave[];
 }
@@ -29,8 +33,10 @@
 }
 
 const WAVE_DURATION_S = 20;
-/** Versions ahead for which a route exists that they will drop. */
-const ROUTES_AHEAD = 3;
+/** Versions ahead for which a route and a key exist that they will drop. */
+const VERSIONS_AHEAD = 3;
+/** Time in ms for which an older cap may still be in force. */
+const OLD_CAP_MS = BOUNDS.configApplyMs + BOUNDS.contactMs;
 
 /** Creates an operator that has configured nothing yet. */
 export function createOperator(platform: ExternalPlatform): Operator {
@@ -49,6 +55,13 @@
       if (!lost) platform.configure(createConfiguration(version));
       storedAt[version] = performance.now();
     },
+    getCap({getCap}) {
+      const since = performance.now() - OLD_CAP_MS;
+      let oldest = version;
+      while (oldest > 1 && storedAt[oldest] > since) oldest -= 1;
+      const caps = range(oldest, version).map(getCap);
+      return Math.max(...caps);
+    },
     declareWave(pool, cap) {
       const wave = {
         wave: waves.length + 1,
@@ -67,18 +80,28 @@
 
 function createConfiguration(version: number): object {
   const [pool] = POOLS.keys();
-  const range = (from: number, to: number) =>
-    Array.from({length: to - from + 1}, (_, index) => from + index);
-  const routes = [
-    ...[...QUEUES].map(([name, service]) => createRoute(name, service)),
-    ...range(1, version).map(each => createRoute(`from-${each}`, pool)),
-    ...range(version + 1, version + ROUTES_AHEAD).map(each =>
-      createRoute(`until-${each}`, pool),
+  // Each of these is there from a version on, or until it.
+  const dated = [
+    ...range(1, version).map(each => `from-${each}`),
+    ...range(version + 1, version + VERSIONS_AHEAD).map(
+      each => `until-${each}`,
     ),
   ];
   return {
     version,
-    routes,
+    routes: [
+      ...[...QUEUES].map(([name, service]) => createRoute(name, service)),
+      ...dated.map(name => ({...createRoute(name, pool), public: true})),
+    ],
+    tenants: [
+      {name: 'probe', apiKeys: dated, weight: 1},
+      ...ORGANISATIONS.map(({name, weight, getCap}) => ({
+        name,
+        weight,
+        apiKeys: listKeys(name, version),
+        ...(getCap(version) > 0 ? {cap: {cpu: getCap(version)}} : {}),
+      })),
+    ],
     services: [
       ...[...POOLS.keys()].map(name => ({name, rejectsOverload: true})),
       {name: SPARE_POOL, rejectsOverload: true, spare: true},
@@ -93,9 +116,14 @@
     service,
     host: AUTHORITY,
     prefix: `/${name}/`,
+    public: name === PUBLIC_QUEUE,
     priority: 0,
     maxAttempts: MAX_ATTEMPTS,
     stretch: 2,
     targetDurationMs: 600,
   };
 }
+
+function range(from: number, to: number): readonly number[] {
+  return Array.from({length: to - from + 1}, (_, index) => from + index);
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -72,8 +72,7 @@
   operator.configure();
   const submissions = new Map<string, Submission>();
   const history = createRunHistory({
-    ...{platform, submissions, disturbances, verdict},
-    waves: operator.waves,
+    ...{platform, submissions, operator, plants, disturbances, verdict},
   });
   let calls = 0;
   let unanswered = 0;
@@ -99,7 +98,10 @@
       return record;
     },
   });
-  const shared = {caller, entryCount, disturbances, verdict, plants, random};
+  const shared = {
+    ...{caller, entryCount, operator},
+    ...{disturbances, verdict, plants, random},
+  };
   const callers = createCallers({
     ...{...shared, submissions, history},
   });
@@ -167,7 +169,7 @@
   progress(`ready after ${Math.round(performance.now() - startedAt)} ms`);
   startedAt = performance.now();
   callers.start();
-  stops.push(startConfigurationProbe({...shared, operator}));
+  stops.push(startConfigurationProbe(shared));
   every(FOLLOW_INTERVAL_MS, () => history.follow());
   every(CHECK_INTERVAL_MS, () => history.checkAll());
   watchOwnLag();
--- a/bench/soak/run_history.ts
+++ b/bench/soak/run_history.ts
@@ -4,12 +4,14 @@
   checkRuns,
 } from '../../src/history/workflows';
 import {ExternalPlatform} from '../../src/stand_ins/external_platform';
-import {FleetEventKind} from '../../src/stand_ins/fleet';
+import {FleetEvent, FleetEventKind} from '../../src/stand_ins/fleet';
 import {MachineState, TaskEndKind, Workflow} from '../../src/types/workflow';
 import {BOUNDS} from './bounds';
 import {Disturbances} from './disturbances';
 import {FaultKind} from './fault';
-import {DeclaredWave} from './operator';
+import {Operator} from './operator';
+import {SoakOrganisation} from './organisations';
+import {Plants} from './plant';
 import {Submission, listTasks} from './submission';
 import {Check, Verdict} from './verdict';
 
@@ -33,7 +35,8 @@
 export interface RunHistoryOptions {
   readonly platform: ExternalPlatform;
   readonly submissions: ReadonlyMap<string, Submission>;
-  readonly waves: readonly DeclaredWave[];
+  readonly operator: Operator;
+  readonly plants: Plants;
   readonly disturbances: Disturbances;
   readonly verdict: Verdict;
 }
@@ -58,7 +61,8 @@
 export function createRunHistory({
   platform,
   submissions,
-  waves,
+  operator,
+  plants,
   disturbances,
   verdict,
 }: RunHistoryOptions): RunHistory {
@@ -66,6 +70,7 @@
   const started = new Set<string>();
   const done = new Set<string>();
   const failures = new Map<string, number>();
+  const usage = new Map<SoakOrganisation, number>();
   const serviced = new Map<string, number>();
   let read = 0;
   let starts = 0;
@@ -79,8 +84,33 @@
     return !disturbances.isCalm(fromMs, at, NO_EXCUSE);
   }
 
+  /** Counts a run that starts or ends, and returns its organisation's usage. */
+  function changeUsage(task: string, count: number): number {
+    const [id, , step] = task.split('.');
+    const {organisation, workflow} = submissions.get(id) ?? {};
+    if (!organisation || !workflow) return 0;
+    const {cpuMillis} = workflow.steps[Number(step)];
+    const used = (usage.get(organisation) ?? 0) + count * cpuMillis;
+    usage.set(organisation, used);
+    return used;
+  }
+
+  function checkCap({task, hostId}: FleetEvent): void {
+    const used = changeUsage(task, 1);
+    const [id, , step] = task.split('.');
+    const {organisation, workflow} = submissions.get(id) ?? {};
+    const cap = organisation ? operator.getCap(organisation) : 0;
+    if (!organisation || !workflow || cap === 0) return;
+    const {cpuMillis} = workflow.steps[Number(step)];
+    const limit = cap * (1 + BOUNDS.capOverage) + cpuMillis;
+    const isPlanted = used > cpuMillis && plants.take(Check.Caps);
+    if (used <= limit && !isPlanted) return;
+    const detail = `${organisation.name} uses ${used} of ${cap} on ${hostId}`;
+    verdict.report(Check.Caps, task, detail);
+  }
+
   function checkWaves(): void {
-    for (const {wave, machines, cap} of waves) {
+    for (const {wave, machines, cap} of operator.waves) {
       const down = machines.filter(
         each =>
           platform.fleet.machines.get(each)?.state === MachineState.Maintenance,
@@ -111,7 +141,9 @@
 
   function checkCompleted(key: string): void {
     follow();
-    const declared = waves.find(({wave}) => key === `${REPORT_PREFIX}${wave}`);
+    const declared = operator.waves.find(
+      ({wave}) => key === `${REPORT_PREFIX}${wave}`,
+    );
     const missing = declared?.machines.filter(
       machine => !((serviced.get(machine) ?? 0) > declared.declaredAt),
     );
@@ -125,12 +157,16 @@
       const {kind, task, how, at, hostId} = events[read];
       const [id] = task.split('.');
       if (kind === FleetEventKind.Start) {
+        checkCap(events[read]);
         starts += 1;
         started.add(id);
         if (submissions.get(id)?.refused) {
           verdict.report(Check.Refusals, id, `started on ${hostId}`);
         }
       }
+      if (kind === FleetEventKind.End || kind === FleetEventKind.Lost) {
+        changeUsage(task, -1);
+      }
       if (kind === FleetEventKind.End && how === TaskEndKind.Done) {
         done.add(task);
       }
--- a/bench/soak/submission.ts
+++ b/bench/soak/submission.ts
@@ -1,6 +1,7 @@
 import {readDraft} from '../../platform/submission';
 import {TaskBehaviour} from '../../src/stand_ins/fleet';
 import {Workflow} from '../../src/types/workflow';
+import {ORGANISATIONS, SoakOrganisation} from './organisations';
 import {Random} from './random';
 
 /** How a call ended, as its caller saw it. */
@@ -17,6 +18,7 @@
   readonly path: string;
   readonly body: string;
   readonly workflow: Workflow;
+  readonly organisation: SoakOrganisation | undefined;
   /** Attempts that are under way. */
   openAttempts: number;
   /** Whether an attempt ended without a refusal or before an answer. */
@@ -34,7 +36,10 @@
 export const QUEUES = new Map([
   ['quotes', 'planner'],
   ['orders', 'desk'],
+  ['open', 'planner'],
 ]);
+/** Queue whose callers need no key. */
+export const PUBLIC_QUEUE = 'open';
 /** Failed runs of a task after which its workflow fails. */
 export const MAX_ATTEMPTS = 3;
 /** Host name that callers address. */
@@ -44,6 +49,8 @@
 export function drawSubmission(random: Random, number: number): Submission {
   const id = number.toString(16).padStart(16, '0');
   const queue = random.pick([...QUEUES.keys()]);
+  const organisation =
+    queue === PUBLIC_QUEUE ? undefined : drawOrganisation(random);
   const gangSize = random.chance(0.1) ? 2 : 0;
   const workMs = random.between(50, 900);
   const behaviour: TaskBehaviour = {
@@ -73,6 +80,7 @@
       ...draft,
       id,
       queue,
+      ...(organisation ? {organisation: organisation.name} : {}),
       pool: QUEUES.get(queue) ?? '',
       priority: 0,
       maxAttempts: MAX_ATTEMPTS,
@@ -80,12 +88,20 @@
       targetDurationMs: 600,
       acceptedAt: 0,
     },
+    organisation,
     openAttempts: 0,
     maybeStored: false,
     refused: false,
   };
 }
 
+/** Draws an organisation by its weight. */
+function drawOrganisation(random: Random): SoakOrganisation {
+  return random.pick(
+    ORGANISATIONS.flatMap(each => new Array(each.weight).fill(each)),
+  );
+}
+
 /** Returns the names of all tasks of a workflow. */
 export function listTasks({id, steps}: Workflow): readonly string[] {
   return steps.flatMap(({taskCount}, step) =>
--- a/bench/soak/verdict.ts
+++ b/bench/soak/verdict.ts
@@ -12,6 +12,10 @@
   Configuration = 'configuration',
   /** A new configuration is in force in time. */
   ConfigurationTime = 'configuration-time',
+  /** A key that no configuration ever held is never answered. */
+  Keys = 'keys',
+  /** No organisation runs more than its cap allows. */
+  Caps = 'caps',
   /** A planned stop cuts no answer and ends in time. */
   PlannedStop = 'planned-stop',
   /** A wave keeps to its limit and is completed when all was serviced. */
--- a/bench/workflows/entry_process.ts
+++ b/bench/workflows/entry_process.ts
@@ -69,6 +69,7 @@
   platform: PlatformAddresses,
   ip: string,
   index: number,
+  contracts: readonly string[] = [],
 ): string {
   const settings: Readonly<Record<string, string>> = {
     nodeName: `entry-${index + 1}`,
@@ -77,6 +78,8 @@
     'listen.front': `${ip}:${CALLER_PORT}`,
     'listen.ready': `${ip}:${READY_PORT}`,
     'limits.cpuShare': '0.675',
+    contracts: contracts.join(','),
+    'bounds.configApplyMs': '2000',
     'bounds.graceS': '6',
     'bounds.holdMaxMs': '10000',
     'bounds.stopMs': '400',
