Soak: keep lists that failed, remove the folder of an interrupted run

Cause: an interrupted run left its folder, and a start that was due after the end of a play could have outlived it. Change: the folder goes with the processes; a disposed entry host starts no more.

--- a/bench/soak/entry.ts
+++ b/bench/soak/entry.ts
@@ -68,8 +68,10 @@
   let incarnation = 0;
   let stopping = false;
   let serving = false;
+  let disposed = false;
 
   function start(): void {
+    if (disposed) return;
     incarnation += 1;
     stopping = false;
     serving = false;
@@ -130,6 +132,7 @@
     },
     isServing: () => serving && child !== undefined,
     async dispose() {
+      disposed = true;
       stopping = true;
       const running = child;
       if (running) {
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -72,7 +72,12 @@
   const result = await runSoak({
     ...{seed, faults, folder, planted, progress},
     entryCount: Number(values.entries),
-    onStarted: dispose => (disposeRunning = dispose),
+    onStarted(dispose) {
+      disposeRunning = async () => {
+        await dispose();
+        rmSync(folder, {recursive: true, force: true});
+      };
+    },
   });
   if (result.violations.length === 0) rmSync(folder, {recursive: true});
   return {result, folder};
