--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import {
+  AdmissionRefusal,
   LoadReport,
   StoredState,
   checkAdmission,
@@ -59,6 +60,8 @@
    * `Unavailable`.
    */
   readonly retryAfterMs?: number;
+  /** What decided a refusal; set if the outcome is `Refused`. */
+  readonly refusal?: AdmissionRefusal;
 }
 
 /** Handles the workflow requests of callers at one entry host. */
@@ -170,16 +173,8 @@
       if (known.isOk && known.value) {
         return {outcome: judgeRepetition(known.value, queue, caller)};
       }
-      log.info('refusal', {
-        request: id,
-        decision: 'refuse',
-        queue: queue.name,
-        pool: queue.pool,
-        organisation: workflow.organisation,
-        ...refusal,
-      });
       const {retryAfterMs} = refusal;
-      return {outcome: SubmitOutcome.Refused, retryAfterMs};
+      return {outcome: SubmitOutcome.Refused, retryAfterMs, refusal};
     }
     return create(workflow, queue, caller);
   }
@@ -295,6 +290,7 @@
         organisation: caller.organisation?.name,
         pool: queue.pool,
         retryAfterMs: answer.retryAfterMs,
+        ...answer.refusal,
       });
       return answer;
     },
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -6,13 +6,15 @@
   LOAD_KEY,
   MachineManager,
   MachineTimes,
+  NO_ORDER_SIGHTINGS,
   WATCHED_PREFIX,
   createCoordinator,
   createIntake,
   createLeadership,
   createMachineManager,
+  createOrderSightings,
 } from '../actors/workflows';
-import {LoadReport} from '../decisions/workflows';
+import {LoadReport, OrganisationGauge} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
 import {Machines, PlacementAdvisor, TaskHosts} from '../ports/hosts';
 import {Mirror, createMirror, createUnixClock} from '../state';
@@ -78,6 +80,11 @@
    * host is the leader.
    */
   readPools(): readonly PoolGauge[];
+  /**
+   * Returns the load of the largest and the worst served organisations; empty
+   * unless this entry host is the leader.
+   */
+  readOrganisations(): readonly OrganisationGauge[];
   /** Gives up leadership and stops. */
   dispose(): Promise<void>;
 }
@@ -145,12 +152,15 @@
     {...mirrorOptions, decode: entry => configurationKeys.read(entry)},
   );
   const watched = createMirror<unknown>(store, WATCHED_PREFIX, mirrorOptions);
+  const isStrong = processorShare >= MIN_LEADER_PROCESSOR_SHARE;
+  const orderSightings = isStrong
+    ? createOrderSightings(store, WATCH_WAIT_MS, RETRY_MS)
+    : NO_ORDER_SIGHTINGS;
   const leadership = createLeadership({
     store,
     memberId,
     leaseMs: leaderLeaseMs,
-    campaignDelayMs:
-      processorShare < MIN_LEADER_PROCESSOR_SHARE ? WEAK_CANDIDATE_DELAY_MS : 0,
+    campaignDelayMs: isStrong ? 0 : WEAK_CANDIDATE_DELAY_MS,
     log,
     onElected(term) {
       const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
@@ -180,6 +190,7 @@
         machines,
         waves,
         coordinator,
+        orderSightings,
         holder: {holder: `${memberId}/${term.fence}`, fence: term.fence},
         getTermAgeMs: () => term.getAgeMs(),
         getConfiguration: () => latest,
@@ -244,9 +255,11 @@
     isReady: () =>
       latest !== undefined && watched.synced.get() && watched.connected.get(),
     readPools: () => coordinator?.readPools() ?? [],
+    readOrganisations: () => coordinator?.readOrganisations() ?? [],
     async dispose() {
       await leadership.dispose();
       for (const mirror of [configuration, watched]) mirror.dispose();
+      orderSightings.dispose();
     },
   };
 }
