--- a/src/actors/workflows/run_end_handler.ts
+++ b/src/actors/workflows/run_end_handler.ts
@@ -92,7 +92,9 @@
           const expectedMs = runTimes.estimate(workflow.queue, step);
           const slowness = actualMs / Math.max(1, expectedMs);
           hostHealth.recordDone(placement.hostId, slowness);
-          runTimes.observe(workflow.queue, step, actualMs);
+          if (placement.isWhole && !step.lasting) {
+            runTimes.observe(workflow.queue, step, actualMs);
+          }
         }
         return handleDone(record, task);
       }
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -178,7 +178,9 @@
       const {id, bornAt, address} = room.host;
       task.run += 1;
       task.phase = TaskPhase.Placed;
-      task.placement = createPlacement(id, bornAt, address, task.run, now);
+      const isWhole = task.checkpoint === '';
+      const {run} = task;
+      task.placement = createPlacement(id, bornAt, address, run, now, isWhole);
       sessions.all.get(id)?.add(task);
     }
     if (record.state === WorkflowState.Pending) {
--- a/src/decisions/workflows/placement.ts
+++ b/src/decisions/workflows/placement.ts
@@ -28,6 +28,11 @@
   stoppedAt: number;
   /** Monotonic time in ms of the start order. */
   readonly orderedAt: number;
+  /**
+   * Whether the run does the whole work of the task from `orderedAt` on; false
+   * if it resumes from a checkpoint or an earlier leader ordered it.
+   */
+  readonly isWhole: boolean;
   /** Reported progress in percent. */
   percent: number;
   /** Monotonic time in ms at which its host last listed the run. */
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -237,7 +237,15 @@
 
 function restorePlacement(place: string, run: number, now: number): Placement {
   const [hostId, bornAt, address] = place.split('|');
-  const placement = createPlacement(hostId, Number(bornAt), address, run, now);
+  const isWhole = false;
+  const placement = createPlacement(
+    hostId,
+    Number(bornAt),
+    address,
+    run,
+    now,
+    isWhole,
+  );
   placement.lastUnsettledReport = 0;
   // The pace that an earlier leader ordered is unknown.
   placement.pace = -1;
@@ -251,6 +259,7 @@
   address: string,
   run: number,
   now: number,
+  isWhole = true,
 ): Placement {
   return {
     hostId,
@@ -263,6 +272,7 @@
     lastUnsettledReport: Infinity,
     stoppedAt: 0,
     orderedAt: now,
+    isWhole,
     percent: 0,
     seenAt: now,
     progressedAt: now,
