Expect a spread also of queues without recorded runs

Cause: the long run time of an unknown queue was not a number. Change: the assumed deviation is the base of the first sample. Measured: the new step of feature run_times failed before and passes.

--- a/features/workflows/run_times.feature
+++ b/features/workflows/run_times.feature
@@ -5,6 +5,7 @@
   Scenario: Without recorded runs the declaration counts
     Given no recorded runs
     Then a run of image "a" declared as 1000 ms is expected to take 1000 ms
+    And it seldom exceeds a factor of 2 to 4 of that
     And a run declared as 0 ms is expected to take 0 ms
 
   Scenario: Images that share a queue are told apart
--- a/features/workflows/run_times.steps.ts
+++ b/features/workflows/run_times.steps.ts
@@ -103,6 +103,15 @@
   },
 );
 
+Then(
+  'it seldom exceeds a factor of {int} to {int} of that',
+  (from: number, to: number) => {
+    const step = {image: 'a', estimateMs: 1_000};
+    const longMs = runTimes.estimateLong(QUEUE, step);
+    assert.ok(longMs >= from * 1_000 && longMs <= to * 1_000, `${longMs}`);
+  },
+);
+
 Then('a run declared as 0 ms is expected to take 0 ms', () => {
   const step = {image: 'a', estimateMs: 0};
   assert.equal(runTimes.estimate(QUEUE, step), 0);
--- a/src/decisions/workflows/run_time_sample.ts
+++ b/src/decisions/workflows/run_time_sample.ts
@@ -20,7 +20,7 @@
    */
   refineMedian(declared: number, base: number): number;
   /** Returns the standard deviation of the logarithm, without stragglers. */
-  refineDeviation(base: number | undefined): number;
+  refineDeviation(base: number): number;
   /** Returns the ratio of the mean to the median, with stragglers. */
   refineMeanFactor(base: number): number;
 }
@@ -30,7 +30,7 @@
 /** Weight of the less specific estimate, as a number of runs. */
 const PRIOR_RUNS = 3;
 /** Standard deviation assumed for unknown runs; a factor of 1.6. */
-const PRIOR_DEVIATION = 0.5;
+export const UNKNOWN_DEVIATION = 0.5;
 /**
  * Logarithm of the ratio to the expected median from which a run is a
  * straggler, at least; a factor of 3. Stragglers count as if they had taken
@@ -64,7 +64,7 @@
     return Math.max(0, squares / runs - mean * mean) + MIN_VARIANCE;
   }
 
-  function refineDeviation(base = PRIOR_DEVIATION): number {
+  function refineDeviation(base: number): number {
     if (runs === 0) return base;
     return Math.sqrt(blend(squaredErrors / runs, base * base));
   }
@@ -73,7 +73,7 @@
     add(declared, actual, predicted) {
       const limit = Math.max(
         MIN_STRAGGLER_RATIO,
-        STRAGGLER_DEVIATIONS * refineDeviation(),
+        STRAGGLER_DEVIATIONS * refineDeviation(UNKNOWN_DEVIATION),
       );
       const counted = Math.min(actual, predicted + limit);
       const ratio = counted - declared;
--- a/src/decisions/workflows/run_times.ts
+++ b/src/decisions/workflows/run_times.ts
@@ -1,5 +1,9 @@
 import {Step} from '../../types/workflow';
-import {RunTimeSample, createRunTimeSample} from './run_time_sample';
+import {
+  RunTimeSample,
+  UNKNOWN_DEVIATION,
+  createRunTimeSample,
+} from './run_time_sample';
 
 /** The parts of a step that its run time depends on. */
 export type TimedStep = Pick<Step, 'image' | 'estimateMs'>;
@@ -67,10 +71,10 @@
   }
 
   function predictDeviation(queue: string, {image}: TimedStep): number {
-    return listSamples(queue, image).reduce<number | undefined>(
+    return listSamples(queue, image).reduce(
       (base, sample) => sample?.refineDeviation(base) ?? base,
-      undefined,
-    ) as number;
+      UNKNOWN_DEVIATION,
+    );
   }
 
   return {
