Order waiting work by the priority of its queue

Cause: the priority of a queue was copied into the workflow and read by nobody, though work of priority 0 comes first. Change: work with value left is ordered by priority before its rank; work without any left comes last whatever its priority.

--- a/src/decisions/workflows/order_workflows.ts
+++ b/src/decisions/workflows/order_workflows.ts
@@ -1,14 +1,17 @@
 import {Step, Workflow} from '../../types/workflow';
 
 /**
- * Priority of a workflow when a pool's queues exceed its capacity.
+ * Order of a workflow when a pool's queues exceed its capacity.
  *
- * Long-running workflows come first, then work that can still meet its latency
- * objective, ordered by earliest objective. Work that is late but still has
- * value comes next, and all other work last.
+ * Work without any value left comes last. All other work is ordered by the
+ * priority of its queue; among equals, long-running workflows come first, then
+ * work that can still meet its latency objective, ordered by earliest
+ * objective, then work that is late but still has value.
  */
 export interface Urgency {
-  /** Priority class; 0 comes first. */
+  /** Priority of the queue; 0 comes first. */
+  readonly priority: number;
+  /** Class among workflows of one priority; 0 comes first. */
   readonly rank: number;
   /** Unix time in ms that orders workflows of one rank, earliest first. */
   readonly at: number;
@@ -17,6 +20,9 @@
 /** Multiple of the latency objective up to which late work still has value. */
 export const MAX_LATENESS_FACTOR = 3;
 
+/** Rank of work that has no value left. */
+const WORTHLESS_RANK = 3;
+
 /**
  * Returns the length of the critical path through a workflow's steps, in ms.
  *
@@ -52,16 +58,29 @@
   remainingMs: number,
   unixNow: number,
 ): Urgency {
-  if (workflow.steps.some(step => step.lasting)) return {rank: 0, at: 0};
+  const {priority} = workflow;
+  if (workflow.steps.some(step => step.lasting)) {
+    return {priority, rank: 0, at: 0};
+  }
   const objectiveMs =
     workflow.stretch * criticalPathMs + workflow.targetDurationMs;
   const objectiveAt = since + objectiveMs;
-  if (unixNow + remainingMs <= objectiveAt) return {rank: 1, at: objectiveAt};
+  if (unixNow + remainingMs <= objectiveAt) {
+    return {priority, rank: 1, at: objectiveAt};
+  }
   const latestAt = since + MAX_LATENESS_FACTOR * objectiveMs;
-  return {rank: unixNow + remainingMs <= latestAt ? 2 : 3, at: latestAt};
+  const hasValue = unixNow + remainingMs <= latestAt;
+  return {priority, rank: hasValue ? 2 : WORTHLESS_RANK, at: latestAt};
 }
 
 /** Compares two urgencies for sorting, most urgent first. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
-  return a.rank - b.rank || a.at - b.at;
+  const aWorthless = Number(a.rank === WORTHLESS_RANK);
+  const bWorthless = Number(b.rank === WORTHLESS_RANK);
+  return (
+    aWorthless - bWorthless ||
+    a.priority - b.priority ||
+    a.rank - b.rank ||
+    a.at - b.at
+  );
 }
