--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -522,6 +522,7 @@
       const {placement} = task;
       if (!placement || !isCurrent(task, placement)) return;
       if (placement.stopping) return dropRun(task, 'stopped before start');
+      placement.orderedAt = performance.now();
       void hold();
       void orders.start(task, placement, ticket);
     },
--- a/src/decisions/workflows/placement.ts
+++ b/src/decisions/workflows/placement.ts
@@ -26,8 +26,11 @@
    * before.
    */
   stoppedAt: number;
-  /** Monotonic time in ms of the start order. */
-  readonly orderedAt: number;
+  /**
+   * Monotonic time in ms of the start order; that of the decision until the
+   * placement is stored.
+   */
+  orderedAt: number;
   /**
    * Whether the run does the whole work of the task from `orderedAt` on; false
    * if it resumes from a checkpoint or an earlier leader ordered it.
