Let a slow stand-in host report slow progress

Cause: the stand-in took longer on a slow host, but its percent rose at the usual speed. Change: the percent follows the time that the work takes on the host.

--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -86,6 +86,8 @@
   readonly behaviour: TaskBehaviour;
   readonly startedAt: number;
   readonly fails: boolean;
+  /** Time in ms that its work takes on this host. */
+  readonly workMs: number;
   /** The run makes no progress and never ends. */
   readonly stalled: boolean;
   /** Pace in percent of full speed. */
@@ -211,10 +213,7 @@
   function startWork(run: Run): void {
     if (run.behaviour.lasting || run.stalled) return;
     const endKind = run.fails ? TaskEndKind.Failed : TaskEndKind.Done;
-    run.timer = setTimeout(
-      () => endRun(run, endKind),
-      run.behaviour.workMs * faults.slowness,
-    );
+    run.timer = setTimeout(() => endRun(run, endKind), run.workMs);
   }
 
   function joinGang(run: Run, size: number): void {
@@ -229,10 +228,15 @@
     gangs.join(gang, size, member);
   }
 
-  function getPercent({behaviour, stalled, startedAt: at}: Run): number {
+  function getPercent({
+    behaviour,
+    workMs,
+    stalled,
+    startedAt: at,
+  }: Run): number {
     if (behaviour.lasting) return 100;
     if (stalled) return 0;
-    const doneShare = (performance.now() - at) / behaviour.workMs;
+    const doneShare = (performance.now() - at) / workMs;
     return Math.min(99, Math.floor(doneShare * 100));
   }
 
@@ -274,6 +278,7 @@
         run,
         behaviour,
         startedAt: performance.now(),
+        workMs: behaviour.workMs * faults.slowness,
         stalled: faults.hanging,
         fails: faults.failing || run <= (behaviour.failures ?? 0),
         pace: 100,
