Keep trying to store a submission for as long as its caller waits

Change: the creation, which its condition makes repeatable, goes on until the caller is about to stop waiting; a submission that finds the store away waits for it for a fifth of that time. The refusals stay true. 3 of 4 scenarios of store_outage.feature fail on the code before.

--- /dev/null
+++ b/features/workflows/store_outage.feature
@@ -0,0 +1,35 @@
+Feature: Submissions while the store is away for a few seconds
+  A caller waits for its answer for some time and repeats a submission a few
+  times only. Its attempts should not be spent while the store is away.
+
+  @promise-not-run @failure-lost-answer
+  Scenario: A store that is silent for two seconds costs a caller that waits for three no attempt
+    Given 3 entry hosts and 4 hosts for workflows
+    When the store is silent and a caller submits a workflow that waits 3000 ms
+    And 2000 ms pass
+    Then the caller has no answer yet
+    When the store answers again
+    Then the caller is answered "accepted" within 500 ms
+    And all are "completed" within 3 s
+    And one run has started
+
+  @promise-not-run @failure-lost-answer
+  Scenario: A caller is told that the outcome is unknown before it stops to wait
+    Given 3 entry hosts and 4 hosts for workflows
+    When the store is silent and a caller submits a workflow that waits 3000 ms
+    Then the caller is answered "unknown" within 3000 ms
+
+  @promise-not-run
+  Scenario: A submission waits for a store that comes back within a fifth of the caller's time
+    Given 3 entry hosts and 4 hosts for workflows
+    When the store is unreachable for 3 s and a caller submits a workflow that waits 3000 ms
+    And 200 ms pass
+    And the store answers again
+    Then the caller is answered "accepted" within 400 ms
+
+  @promise-not-run
+  Scenario: While the store stays away a caller is refused early and told when to come back
+    Given 3 entry hosts and 4 hosts for workflows
+    When the store is unreachable for 3 s and a caller submits a workflow that waits 3000 ms
+    Then the caller is answered "unavailable" within 600 ms
+    And it is asked to come back after 1000 ms
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -2,13 +2,12 @@
 import {
   AdmissionRefusal,
   LoadReport,
-  StoredState,
   checkAdmission,
   isFinal,
   isVisible,
 } from '../../decisions/workflows';
 import {Store, StoreEntry, StoreFailure} from '../../ports';
-import {createAdaptiveTimeout} from '../../state';
+import {startStopwatch} from '../../state';
 import {Log} from '../../telemetry';
 import {
   Caller,
@@ -17,9 +16,10 @@
   Workflow,
   WorkflowState,
 } from '../../types/workflow';
-import {getCancelKey, getStateKey, getWorkKey} from './keys';
+import {getCancelKey, getWorkKey} from './keys';
 import {createRecentEntries} from './recent_entries';
 import {createStateReader} from './state_reader';
+import {createWorkflowCreator} from './workflow_creator';
 
 /** Outcome of a submission. */
 export enum SubmitOutcome {
@@ -66,11 +66,17 @@
 
 /** Handles the workflow requests of callers at one entry host. */
 export interface Intake {
+  /**
+   * Accepts or refuses a workflow.
+   *
+   * @param waitMs time in ms for which the caller waits for the answer
+   */
   submit(
     queue: Queue,
     id: string,
     draft: WorkflowDraft,
     caller: Caller,
+    waitMs?: number,
   ): Promise<SubmitAnswer>;
   /**
    * Returns the state of a workflow; undefined if the queue has no such
@@ -92,8 +98,11 @@
 /** Dependencies of an intake. */
 export interface IntakeOptions {
   readonly store: Store;
-  /** Returns whether the last call to the store was answered. */
-  readonly isConnected: () => boolean;
+  /**
+   * Waits until the store answers, for the given time in ms at most; resolves
+   * to whether it does.
+   */
+  readonly whenConnected: (timeoutMs: number) => Promise<boolean>;
   /** Returns the leader's last report; undefined if none was received. */
   readonly getLoad: () => LoadReport | undefined;
   /** Returns the time in ms since that report was received. */
@@ -103,14 +112,18 @@
   readonly log: Log;
 }
 
+/** Time in ms that callers wait for an answer if they don't say. */
+const DEFAULT_WAIT_MS = 1_000;
 /**
- * Maximum attempts to store a submission before its outcome is reported as
- * unknown. With a third of all answers lost, about one submission in twenty
- * ends as unknown.
+ * Share of a caller's wait for which its submission waits for a store that is
+ * away; a short outage then costs the caller none of its attempts.
  */
-const MAX_CREATE_ATTEMPTS = 3;
-/** Retry delay in ms suggested to callers while the store is unavailable. */
-const STORE_RETRY_MS = 1_000;
+const CONNECTION_WAIT_SHARE = 0.2;
+/** Answer while the store is unavailable. */
+const UNAVAILABLE: SubmitAnswer = {
+  outcome: SubmitOutcome.Unavailable,
+  retryAfterMs: 1_000,
+};
 /** Number of workflows of each kind that an entry host remembers. */
 const MAX_RECENT = 4_096;
 
@@ -124,13 +137,13 @@
  */
 export function createIntake({
   store,
-  isConnected,
+  whenConnected,
   getLoad,
   getLoadAgeMs,
   unixNow,
   log,
 }: IntakeOptions): Intake {
-  const storeTimeout = createAdaptiveTimeout();
+  const creator = createWorkflowCreator(store);
   const states = createStateReader(store);
   /** Workflows that were cancelled through this entry host. */
   const cancelled = createRecentEntries<true>(MAX_RECENT);
@@ -145,13 +158,11 @@
     id: string,
     draft: WorkflowDraft,
     caller: Caller,
+    waitMs: number,
   ): Promise<SubmitAnswer> {
-    if (!isConnected()) {
-      return {
-        outcome: SubmitOutcome.Unavailable,
-        retryAfterMs: STORE_RETRY_MS,
-      };
-    }
+    const getElapsedMs = startStopwatch();
+    const connectionWaitMs = waitMs * CONNECTION_WAIT_SHARE;
+    if (!(await whenConnected(connectionWaitMs))) return UNAVAILABLE;
     const workflow: Workflow = {
       id,
       queue: queue.name,
@@ -176,7 +187,7 @@
       const {retryAfterMs} = refusal;
       return {outcome: SubmitOutcome.Refused, retryAfterMs, refusal};
     }
-    return create(workflow, queue, caller);
+    return create(workflow, queue, caller, waitMs - getElapsedMs());
   }
 
   /**
@@ -200,40 +211,17 @@
     workflow: Workflow,
     queue: Queue,
     caller: Caller,
+    waitMs: number,
   ): Promise<SubmitAnswer> {
-    const {id, organisation} = workflow;
-    const state: StoredState = {
-      queue: queue.name,
-      ...(organisation === undefined ? {} : {organisation}),
-      state: WorkflowState.Pending,
-      begun: false,
-    };
-    const transaction = {
-      conditions: new Map([[getWorkKey(id), 0]]),
-      puts: [
-        {key: getWorkKey(id), value: JSON.stringify(workflow)},
-        {key: getStateKey(id), value: JSON.stringify(state)},
-      ],
-      removals: [],
-    };
-    // The condition lets at most one of the attempts create the key.
-    let result = await storeTimeout.run(() => store.transact(transaction));
-    let lost = 0;
-    while (result.isErr && result.error === StoreFailure.AnswerLost) {
-      lost += 1;
-      if (lost === MAX_CREATE_ATTEMPTS) break;
-      result = await storeTimeout.run(() => store.transact(transaction));
-    }
-    if (result.isErr && lost > 0) return {outcome: SubmitOutcome.Unknown};
+    const result = await creator.create(workflow, waitMs);
     if (result.isOk) {
       const {applied, found} = result.value;
       if (applied) return {outcome: SubmitOutcome.Accepted};
       return {outcome: judgeRepetition(found[0], queue, caller)};
     }
-    return {
-      outcome: SubmitOutcome.Unavailable,
-      retryAfterMs: STORE_RETRY_MS,
-    };
+    return result.error === StoreFailure.AnswerLost
+      ? {outcome: SubmitOutcome.Unknown}
+      : UNAVAILABLE;
   }
 
   async function readState(
@@ -276,8 +264,8 @@
   }
 
   return {
-    async submit(queue, id, draft, caller) {
-      let answer = await submit(queue, id, draft, caller);
+    async submit(queue, id, draft, caller, waitMs = DEFAULT_WAIT_MS) {
+      let answer = await submit(queue, id, draft, caller, waitMs);
       if (answer.outcome === SubmitOutcome.Unknown) unknown.set(id, true);
       if (answer.outcome === SubmitOutcome.Unavailable && unknown.has(id)) {
         answer = {...answer, outcome: SubmitOutcome.Unknown};
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -12,5 +12,6 @@
 export * from './observable_value';
 export * from './stopwatch';
 export * from './unix_clock';
+export * from './wait_until';
 export * from './write';
 export * from './write_outcome';
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -17,7 +17,7 @@
 import {LoadReport, OrganisationGauge} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
 import {Machines, PlacementAdvisor, TaskHosts} from '../ports/hosts';
-import {Mirror, createMirror, createUnixClock} from '../state';
+import {Mirror, createMirror, createUnixClock, waitUntil} from '../state';
 import {Log, PoolGauge} from '../telemetry';
 import {FleetConfiguration, MaintenanceWave, TaskHost} from '../types/workflow';
 
@@ -240,7 +240,8 @@
 
   const intake = createIntake({
     store,
-    isConnected: () => watched.connected.get(),
+    whenConnected: timeoutMs =>
+      waitUntil(watched.connected, connected => connected, timeoutMs),
     getLoad: () =>
       watched.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
     getLoadAgeMs: () => performance.now() - loadSeenAt,
