Check the coverage of cap histories over all seeds

Cause: each seed had to contain a lost run; since hosts are judged by progress, the 8 histories of seed 2 contain none (735 seen, 309 starts, 0 lost). The check of the caps is as before, on more histories.

--- a/features/workflows/caps.feature
+++ b/features/workflows/caps.feature
@@ -88,13 +88,7 @@
     And an organisation below half of its cap could always start
 
   @failure-crash @failure-lost-answer @failure-partition
-  Scenario Outline: Random histories of submissions, losses, takeovers and versions keep the cap
-    When 8 random histories of 14 steps are played with seed <seed>
+  Scenario: Random histories of submissions, losses, takeovers and versions keep the cap
+    When 12 random histories of 14 steps are played with each of the seeds 1 to 3
     Then no organisation exceeded its cap in any of them
     And the histories have starts, losses and takeovers
-
-    Examples:
-      | seed |
-      | 1    |
-      | 2    |
-      | 3    |
