--- a/src/actors/workflows/index.ts
+++ b/src/actors/workflows/index.ts
@@ -9,3 +9,4 @@
 export * from './keys';
 export * from './leadership';
 export * from './machine_manager';
+export * from './order_sightings';
--- a/src/decisions/workflows/placement.ts
+++ b/src/decisions/workflows/placement.ts
@@ -12,6 +12,11 @@
    * report.
    */
   confirmed: boolean;
+  /**
+   * Monotonic time in ms at which the start was first confirmed; that of the
+   * order before.
+   */
+  confirmedAt: number;
   /** Whether the host has listed the run in a report. */
   listed: boolean;
   /** Whether a stop order was sent. */
@@ -26,8 +31,16 @@
    * before.
    */
   stoppedAt: number;
-  /** Monotonic time in ms of the start order. */
-  readonly orderedAt: number;
+  /**
+   * Monotonic time in ms of the start order; that of the decision until the
+   * placement is stored.
+   */
+  orderedAt: number;
+  /**
+   * Whether the run does the whole work of the task from `orderedAt` on; false
+   * if it resumes from a checkpoint or an earlier leader ordered it.
+   */
+  readonly isWhole: boolean;
   /** Reported progress in percent. */
   percent: number;
   /** Monotonic time in ms at which its host last listed the run. */
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -6,16 +6,18 @@
   LOAD_KEY,
   MachineManager,
   MachineTimes,
+  NO_ORDER_SIGHTINGS,
   WATCHED_PREFIX,
   createCoordinator,
   createIntake,
   createLeadership,
   createMachineManager,
+  createOrderSightings,
 } from '../actors/workflows';
 import {LoadReport, OrganisationGauge} from '../decisions/workflows';
 import {Store, StoreEntry} from '../ports';
 import {Machines, PlacementAdvisor, TaskHosts} from '../ports/hosts';
-import {Mirror, createMirror, createUnixClock} from '../state';
+import {Mirror, createMirror, createUnixClock, waitUntil} from '../state';
 import {Log, PoolGauge} from '../telemetry';
 import {FleetConfiguration, MaintenanceWave, TaskHost} from '../types/workflow';
 
@@ -150,12 +152,15 @@
     {...mirrorOptions, decode: entry => configurationKeys.read(entry)},
   );
   const watched = createMirror<unknown>(store, WATCHED_PREFIX, mirrorOptions);
+  const isStrong = processorShare >= MIN_LEADER_PROCESSOR_SHARE;
+  const orderSightings = isStrong
+    ? createOrderSightings(store, WATCH_WAIT_MS, RETRY_MS)
+    : NO_ORDER_SIGHTINGS;
   const leadership = createLeadership({
     store,
     memberId,
     leaseMs: leaderLeaseMs,
-    campaignDelayMs:
-      processorShare < MIN_LEADER_PROCESSOR_SHARE ? WEAK_CANDIDATE_DELAY_MS : 0,
+    campaignDelayMs: isStrong ? 0 : WEAK_CANDIDATE_DELAY_MS,
     log,
     onElected(term) {
       const registry = createMirror<TaskHost>(store, registryKeys.prefix, {
@@ -185,6 +190,7 @@
         machines,
         waves,
         coordinator,
+        orderSightings,
         holder: {holder: `${memberId}/${term.fence}`, fence: term.fence},
         getTermAgeMs: () => term.getAgeMs(),
         getConfiguration: () => latest,
@@ -234,7 +240,8 @@
 
   const intake = createIntake({
     store,
-    isConnected: () => watched.connected.get(),
+    whenConnected: timeoutMs =>
+      waitUntil(watched.connected, connected => connected, timeoutMs),
     getLoad: () =>
       watched.entries.get().get(LOAD_KEY)?.value as LoadReport | undefined,
     getLoadAgeMs: () => performance.now() - loadSeenAt,
@@ -253,6 +260,7 @@
     async dispose() {
       await leadership.dispose();
       for (const mirror of [configuration, watched]) mirror.dispose();
+      orderSightings.dispose();
     },
   };
 }
