--- a/features/workflows/organisations.feature
+++ b/features/workflows/organisations.feature
@@ -64,6 +64,22 @@
     Then "entry-2" says of the key "old" never more "org-a", and "unknown" within 500 ms
     And "entry-2" says of the key "new": "org-a"
 
+  # Guards against calls that spend their caller's attempts while the store is away.
+  @promise-configuration @failure-partition
+  Scenario: A call waits a while for a store that comes back
+    Given 3 entry hosts and 4 hosts for workflows
+    And the operator gives "org-a" the key "old" in version 10
+    When the store turns "entry-2" away
+    And 4000 ms pass
+    Then "entry-2" says of the key "old": "unconfirmed"
+    When a call waits at "entry-2" for the configuration, 600 ms at most
+    And the store serves "entry-2" again
+    Then the call is ready within 400 ms, and "entry-2" says of the key "old": "org-a"
+    When the store turns "entry-2" away
+    And 4000 ms pass
+    And a call waits at "entry-2" for the configuration, 600 ms at most
+    Then the call is ready within 650 ms, and "entry-2" says of the key "old": "unconfirmed"
+
   # Guards against calls that are refused after the loss of a single watch.
   @promise-configuration @failure-silent-connection
   Scenario: The loss of one watch turns no key away
--- a/features/workflows/organisations.steps.ts
+++ b/features/workflows/organisations.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
-import {LOAD_KEY, createKeyCheck} from '../../src/actors/workflows';
+import {KeyCheck, LOAD_KEY, createKeyCheck} from '../../src/actors/workflows';
 import {digestKey} from '../../src/decisions/workflows';
 import {LogLevel, createLog} from '../../src/telemetry';
 import {Caller, Organisation} from '../../src/types/workflow';
@@ -135,18 +135,22 @@
   await advance(5);
 });
 
-/** Returns the organisation of a key, or the cause of its refusal. */
-function identify(memberId: string, key: string): string {
+function createMemberKeyCheck(memberId: string): KeyCheck {
   const {entry} = findMember(memberId);
-  const configuration = entry.getConfiguration();
-  assert.ok(configuration);
-  const check = createKeyCheck({
+  return createKeyCheck({
     getConfigurationAgeMs: () => entry.getConfigurationAgeMs(),
+    whenConfirmed: timeoutMs => entry.whenConfigurationConfirmed(timeoutMs),
     maxConfigurationAgeMs: CONFIGURATION_MS,
     onRefusal: () => {},
     log: createLog({}, LogLevel.Error),
   });
-  const caller = check.identify({
+}
+
+/** Returns the organisation of a key, or the cause of its refusal. */
+function identify(memberId: string, key: string): string {
+  const configuration = findMember(memberId).entry.getConfiguration();
+  assert.ok(configuration);
+  const caller = createMemberKeyCheck(memberId).identify({
     queue: QUEUE,
     configuration,
     id: undefined,
@@ -212,3 +216,23 @@
     }
   },
 );
+
+let waiting: Promise<void> | undefined;
+
+When(
+  'a call waits at {string} for the configuration, {int} ms at most',
+  (memberId: string, timeoutMs: number) => {
+    waiting = createMemberKeyCheck(memberId).whenReady(QUEUE, timeoutMs);
+  },
+);
+
+Then(
+  'the call is ready within {int} ms, and {string} says of the key {string}: {string}',
+  async (limitMs: number, memberId: string, key: string, expected: string) => {
+    const startedAt = performance.now();
+    assert.ok(waiting);
+    await settle(waiting);
+    assert.ok(performance.now() - startedAt <= limitMs);
+    assert.equal(identify(memberId, key), expected);
+  },
+);
--- a/src/actors/workflows/key_check.ts
+++ b/src/actors/workflows/key_check.ts
@@ -5,6 +5,11 @@
 
 /** Identifies the callers of an entry host by their API keys. */
 export interface KeyCheck {
+  /**
+   * Waits for a configuration that is recent enough to identify callers of a
+   * queue, for the given time in ms at most.
+   */
+  whenReady(queue: Queue, timeoutMs: number): Promise<void>;
   /**
    * Identifies the caller of a queue.
    *
@@ -27,6 +32,11 @@
 export interface KeyCheckOptions {
   /** Returns the time in ms since the store last confirmed the configuration. */
   readonly getConfigurationAgeMs: () => number;
+  /**
+   * Waits until the store answers for the configuration, for the given time in
+   * ms at most.
+   */
+  readonly whenConfirmed: (timeoutMs: number) => Promise<unknown>;
   /** Age in ms above which the configuration identifies nobody. */
   readonly maxConfigurationAgeMs: number;
   /** Called with the cause of each refusal. */
@@ -48,6 +58,7 @@
  */
 export function createKeyCheck({
   getConfigurationAgeMs,
+  whenConfirmed,
   maxConfigurationAgeMs,
   onRefusal,
   log,
@@ -80,6 +91,11 @@
   }
 
   return {
+    async whenReady(queue, timeoutMs) {
+      if (queue.isPublic) return;
+      if (getConfigurationAgeMs() <= maxConfigurationAgeMs) return;
+      await whenConfirmed(timeoutMs);
+    },
     identify(call) {
       const configurationAgeMs = getConfigurationAgeMs();
       const caller = identifyCaller({
--- a/src/actors/workflows/workflow_creator.ts
+++ b/src/actors/workflows/workflow_creator.ts
@@ -28,7 +28,7 @@
 /** Delay in ms before further attempts at a store that does not answer. */
 const RETRY_MS = 150;
 /** Time in ms that an attempt and its answer to the caller take at most. */
-const ATTEMPT_MS = 500;
+const ATTEMPT_MS = 350;
 
 /**
  * Creates a creator.
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -73,6 +73,11 @@
   getConfiguration(): FleetConfiguration | undefined;
   /** Returns the time in ms since the store last confirmed the configuration. */
   getConfigurationAgeMs(): number;
+  /**
+   * Waits until the store answers for the configuration, for the given time in
+   * ms at most; resolves to whether it does.
+   */
+  whenConfigurationConfirmed(timeoutMs: number): Promise<boolean>;
   /** Whether callers can be served. */
   isReady(): boolean;
   /**
@@ -253,6 +258,8 @@
     intake,
     getConfiguration: () => latest,
     getConfigurationAgeMs: () => configuration.getAgeMs(),
+    whenConfigurationConfirmed: timeoutMs =>
+      waitUntil(configuration.connected, connected => connected, timeoutMs),
     isReady: () =>
       latest !== undefined && watched.synced.get() && watched.connected.get(),
     readPools: () => coordinator?.readPools() ?? [],
