--- a/features/workflows/store_outage.feature
+++ b/features/workflows/store_outage.feature
@@ -18,6 +18,7 @@
     Given 3 entry hosts and 4 hosts for workflows
     When the store is silent and a caller submits a workflow that waits 3000 ms
     Then the caller is answered "unknown" within 3000 ms
+    And the entry host must not call the workflow refused
 
   @promise-not-run
   Scenario: A submission waits for a store that comes back within a fifth of the caller's time
--- a/features/workflows/store_outage.steps.ts
+++ b/features/workflows/store_outage.steps.ts
@@ -72,3 +72,7 @@
 );
 
 Then('one run has started', () => assert.equal(countStarts(getWorld()), 1));
+
+Then('the entry host must not call the workflow refused', () =>
+  assert.ok(getWorld().members[1].entry.intake.mayBeStored(ID)),
+);
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -78,6 +78,11 @@
     caller: Caller,
     waitMs?: number,
   ): Promise<SubmitAnswer>;
+  /**
+   * Returns whether an earlier submission of the id through this entry host has
+   * an unknown outcome, so that it must not be called refused.
+   */
+  mayBeStored(id: string): boolean;
   /**
    * Returns the state of a workflow; undefined if the queue has no such
    * workflow that the caller may know of.
@@ -282,6 +287,7 @@
       });
       return answer;
     },
+    mayBeStored: id => unknown.has(id),
     readState,
     async cancel(queue, id, caller) {
       const outcome = await cancel(queue, id, caller);
--- a/src/actors/workflows/workflow_creator.ts
+++ b/src/actors/workflows/workflow_creator.ts
@@ -25,10 +25,15 @@
  * all answers lost, about one submission in twenty ends as unknown.
  */
 const MIN_ATTEMPTS = 3;
+/** Time in ms that the answer to the caller takes. */
+const ANSWER_MS = 30;
 /** Delay in ms before further attempts at a store that does not answer. */
 const RETRY_MS = 150;
-/** Time in ms that an attempt and its answer to the caller take at most. */
-const ATTEMPT_MS = 350;
+/**
+ * Time in ms that an attempt takes at least if the store answers, with the
+ * answer to the caller.
+ */
+const MIN_ATTEMPT_MS = 100;
 
 /**
  * Creates a creator.
@@ -48,8 +53,9 @@
       const transaction = createTransaction(workflow);
       let lost = 0;
       for (;;) {
-        const result = await storeTimeout.run(() =>
-          store.transact(transaction),
+        const result = await storeTimeout.run(
+          () => store.transact(transaction),
+          waitMs - getElapsedMs() - ANSWER_MS,
         );
         if (result.isOk) return result;
         if (result.error === StoreFailure.AnswerLost) lost += 1;
@@ -57,7 +63,7 @@
         if (lost < MIN_ATTEMPTS && result.error === StoreFailure.AnswerLost) {
           continue;
         }
-        if (getElapsedMs() + ATTEMPT_MS > waitMs) {
+        if (getElapsedMs() + RETRY_MS + MIN_ATTEMPT_MS > waitMs) {
           return Result.err(StoreFailure.AnswerLost);
         }
         await delay(RETRY_MS);
--- a/src/state/adaptive_timeout.ts
+++ b/src/state/adaptive_timeout.ts
@@ -10,9 +10,12 @@
    *
    * The store may still carry out a timed-out call, so the caller must be able
    * to find out whether it did.
+   *
+   * @param maxMs maximum time in ms, whatever calls usually take
    */
   run<T>(
     call: () => Promise<Result<T, StoreFailure>>,
+    maxMs?: number,
   ): Promise<Result<T, StoreFailure>>;
 }
 
@@ -39,10 +42,11 @@
   let averageMs = 0;
 
   return {
-    run(call) {
+    run(call, maxMs = MAX_TIMEOUT_MS) {
       const startedAt = performance.now();
       const timeoutMs = Math.min(
         MAX_TIMEOUT_MS,
+        Math.max(1, maxMs),
         Math.max(MIN_TIMEOUT_MS, averageMs * TIMEOUT_FACTOR),
       );
       return new Promise(resolve => {
