Judge a host against the other hosts of its pool

Change: what the runs of a pool share is taken off before a host is judged, and a run whose end is reported late counts by its progress. Measured: feature host_speed (10 scenarios) passes.

--- a/features/workflows/host_speed.feature
+++ b/features/workflows/host_speed.feature
@@ -5,6 +5,7 @@
   @failure-bad-worker
   Scenario: A slow host is used after the others and is tried again later
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 5 runs end on a host in 6.0 times their usual time
     Then the host is slow
     When 6 s pass for the speed record
@@ -13,11 +14,13 @@
   @failure-bad-worker
   Scenario: Runs in progress show a slow host before any of them ends
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 4 runs are in progress on a host at 3.0 times their usual time
     Then the host is slow
 
   Scenario: One long task does not make a host slow
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 1 runs are in progress on a host at 3.0 times their usual time
     Then the host is not slow
 
@@ -26,8 +29,14 @@
     When 200 hosts run tasks that differ by a third for 20 s
     Then at most 1 of 100 judgements was wrong
 
+  Scenario: What all hosts of a pool share is no fact of a host
+    Given an empty record of host speeds
+    When all 20 hosts of a pool run tasks at 3.0 times their usual time
+    Then the host is not slow
+
   Scenario: Real work at the usual speed restores trust
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 4 runs end on a host in 3.0 times their usual time
     Then the host is slow
     When 4 runs end on a host in 1.0 times their usual time
@@ -35,12 +44,14 @@
 
   Scenario: A slow rack is slow as a whole
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 3 of 3 busy hosts on a rack are slow
     Then an idle host on that rack is slow
     And a host on another rack is not slow
 
   Scenario: A single slow host says nothing of its rack
     Given an empty record of host speeds
+    And 30 busy hosts elsewhere in its pool
     When 1 of 3 busy hosts on a rack are slow
     Then an idle host on that rack is not slow
 
--- a/features/workflows/host_speed.steps.ts
+++ b/features/workflows/host_speed.steps.ts
@@ -13,11 +13,11 @@
 import {advance} from '../support/paused_clock';
 import {createRandom} from '../support/random';
 import {getSubmitted, getWorld} from './running.steps';
-import {createSpec, createStep} from './workflow_world';
+import {POOL, createSpec, createStep} from './workflow_world';
 
-const HOST: MeasuredHost = {id: 'host-1', rack: 'rack-1'};
-const IDLE_HOST: MeasuredHost = {id: 'idle', rack: 'rack-1'};
-const OTHER_HOST: MeasuredHost = {id: 'other', rack: 'rack-2'};
+const HOST: MeasuredHost = {id: 'host-1', pool: POOL, rack: 'rack-1'};
+const IDLE_HOST: MeasuredHost = {id: 'idle', pool: POOL, rack: 'rack-1'};
+const OTHER_HOST: MeasuredHost = {id: 'other', pool: POOL, rack: 'rack-2'};
 const MOVE_MS = 1_500;
 /** Relative difference between tasks of one image. */
 const DIFFERENCE = 1 / 3;
@@ -38,9 +38,8 @@
 When(
   '{int} runs end on a host in {float} times their usual time',
   (count: number, slowness: number) => {
-    speed.recordProgress(HOST, [], now);
     for (let index = 0; index < count; index += 1) {
-      speed.recordEnd(HOST.id, slowness, now);
+      speed.recordEnd(HOST, slowness, now);
     }
   },
 );
@@ -82,11 +81,12 @@
     for (let second = 0; second < seconds; second += 1) {
       now += 1_000;
       for (let index = 0; index < count; index += 1) {
-        const host = {id: `host-${index}`, rack: `rack-${index % 20}`};
+        const rack = `rack-${index % 20}`;
+        const host = {id: `host-${index}`, pool: POOL, rack};
         const running = Math.floor(random() * 6);
         speed.recordProgress(host, Array.from({length: running}, vary), now);
         for (let end = 0; end < 3; end += 1) {
-          speed.recordEnd(host.id, vary(), now);
+          speed.recordEnd(host, vary(), now);
         }
       }
       speed.review(now);
@@ -109,7 +109,7 @@
     for (let index = 0; index < busy; index += 1) {
       const slowness = index < slow ? 4 : 1;
       const slownesses = [slowness, slowness, slowness, slowness];
-      const host = {id: `busy-${index}`, rack: HOST.rack};
+      const host = {...HOST, id: `busy-${index}`};
       speed.recordProgress(host, slownesses, now);
     }
     for (const host of [IDLE_HOST, OTHER_HOST]) {
@@ -132,6 +132,23 @@
   assert.equal(speed.isSlow(OTHER_HOST.id), false);
 });
 
+Given('30 busy hosts elsewhere in its pool', () => {
+  for (let index = 0; index < 30; index += 1) {
+    const host = {id: `elsewhere-${index}`, pool: POOL, rack: `far-${index}`};
+    speed.recordProgress(host, [1, 1, 1, 1], now);
+  }
+});
+
+When(
+  'all {int} hosts of a pool run tasks at {float} times their usual time',
+  (count: number, slowness: number) => {
+    for (let index = 0; index < count; index += 1) {
+      const host = {...HOST, id: `host-${index}`, rack: `far-${index}`};
+      speed.recordProgress(host, [slowness, slowness, slowness], now);
+    }
+  },
+);
+
 Given(
   'a checkpointed run at {int} percent after {int} ms on a host',
   (percent: number, elapsedMs: number) => {
--- a/src/actors/workflows/host_health_monitor.ts
+++ b/src/actors/workflows/host_health_monitor.ts
@@ -8,6 +8,7 @@
   createHostHealth,
   createHostSpeed,
   getMoveGainMs,
+  measureRunMs,
   projectRunMs,
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
@@ -120,7 +121,7 @@
       });
     }
     for (const [id, session] of sessions) {
-      if (speed.isSlow(id)) moveAway(session, speed.getSlowness(id, now));
+      if (speed.isSlow(id)) moveAway(session, speed.getSlowness(id));
     }
   }
 
@@ -140,15 +141,16 @@
 
   return {
     recordDone(task, placement) {
-      const {hostId, isWhole, confirmed, confirmedAt} = placement;
+      const {hostId, isWhole, confirmed} = placement;
       health.recordSuccess(hostId);
       const usualMs = getUsualMs(task);
+      const session = sessions.get(hostId);
       // Without a confirmed start, the run may have begun much later.
-      if (!isWhole || !confirmed || !isMeasurable(task) || usualMs === 0) {
-        return;
-      }
+      if (!session || !isWhole || !confirmed) return;
+      if (!isMeasurable(task) || usualMs === 0) return;
       const now = performance.now();
-      speed.recordEnd(hostId, (now - confirmedAt) / usualMs, now);
+      const runMs = measureRunMs(placement, now);
+      speed.recordEnd(session.room.host, runMs / usualMs, now);
     },
     recordFailure(task, hostId) {
       const {id} = task.workflow;
--- a/src/decisions/workflows/host_speed.ts
+++ b/src/decisions/workflows/host_speed.ts
@@ -1,6 +1,7 @@
 /** A host whose runs are compared with those of the same image elsewhere. */
 export interface MeasuredHost {
   readonly id: string;
+  readonly pool: string;
   /** Empty if it is unknown. */
   readonly rack: string;
 }
@@ -22,7 +23,7 @@
   /**
    * Records a completed run that took the given multiple of its usual time.
    */
-  recordEnd(hostId: string, slowness: number, now: number): void;
+  recordEnd(host: MeasuredHost, slowness: number, now: number): void;
   /**
    * Records the runs in progress on a host by the multiple of their usual time
    * that they will take; replaces those recorded before.
@@ -37,10 +38,10 @@
   /** Returns whether a host was slow at the last review. */
   isSlow(hostId: string): boolean;
   /**
-   * Returns the multiple of the usual run time that a host's runs take, drawn
-   * towards 1 while few are known.
+   * Returns the multiple of the usual run time that a host's runs took at the
+   * last review, drawn towards 1 while few are known.
    */
-  getSlowness(hostId: string, now: number): number;
+  getSlowness(hostId: string): number;
   /** Removes the records of all hosts but the given ones. */
   retain(hostIds: ReadonlyMap<string, unknown>): void;
 }
@@ -54,6 +55,8 @@
   /** Sums over runs in progress. */
   running: number;
   runningRuns: number;
+  /** Judgement of the last review. */
+  slowness: number;
   slow: boolean;
 }
 
@@ -65,6 +68,8 @@
 const MEMORY_MS = 2_500;
 /** Weight of a usual speed, as a number of runs. */
 const PRIOR_RUNS = 2;
+/** The same for a pool, in which single hosts may be slow. */
+const POOL_PRIOR_RUNS = 10;
 /**
  * Multiple of the usual run time from which a host is slow. Tasks differ by a
  * third among themselves, so that few runs of a sound host reach it.
@@ -92,6 +97,7 @@
         decayedAt: 0,
         running: 0,
         runningRuns: 0,
+        slowness: 1,
         slow: false,
       };
       records.set(host.id, record);
@@ -106,10 +112,31 @@
     record.decayedAt = now;
   }
 
-  function judge(record: SpeedRecord, now: number): number {
-    decay(record, now);
-    const runs = record.endedRuns + record.runningRuns;
-    return Math.exp((record.ended + record.running) / (runs + PRIOR_RUNS));
+  /**
+   * Returns by how much the runs of each pool take longer than usual, as a
+   * logarithm. What all hosts share is no fact of a host: estimates that are
+   * still unknown, or ends that are reported late.
+   */
+  function measurePools(): ReadonlyMap<string, number> {
+    const sums = new Map<string, {sum: number; runs: number}>();
+    for (const record of records.values()) {
+      const {pool} = record.host;
+      const total = sums.get(pool) ?? {sum: 0, runs: 0};
+      total.sum += record.ended + record.running;
+      total.runs += countRuns(record);
+      sums.set(pool, total);
+    }
+    const shared = new Map<string, number>();
+    for (const [pool, {sum, runs}] of sums) {
+      shared.set(pool, Math.max(0, sum / (runs + POOL_PRIOR_RUNS)));
+    }
+    return shared;
+  }
+
+  function judge(record: SpeedRecord, shared: number): number {
+    const runs = countRuns(record);
+    const excess = record.ended + record.running - runs * shared;
+    return Math.exp(excess / (runs + PRIOR_RUNS));
   }
 
   /** Returns the racks on which most of the hosts with runs are slow. */
@@ -117,7 +144,7 @@
     const racks = new Map<string, {judged: number; slow: number}>();
     for (const record of records.values()) {
       const {rack} = record.host;
-      if (rack === '' || record.endedRuns + record.runningRuns < 1) continue;
+      if (rack === '' || countRuns(record) < 1) continue;
       const counts = racks.get(rack) ?? {judged: 0, slow: 0};
       counts.judged += 1;
       if (slow.has(record)) counts.slow += 1;
@@ -132,8 +159,8 @@
   }
 
   return {
-    recordEnd(hostId, slowness, now) {
-      const record = get(records.get(hostId)?.host ?? {id: hostId, rack: ''});
+    recordEnd(host, slowness, now) {
+      const record = get(host);
       decay(record, now);
       record.ended += toLogarithm(slowness);
       record.endedRuns += 1;
@@ -151,23 +178,25 @@
     },
     review(now) {
       const all = [...records.values()];
-      const slow = new Set(all.filter(each => judge(each, now) > SLOW_FACTOR));
+      for (const record of all) decay(record, now);
+      const pools = measurePools();
+      for (const record of all) {
+        record.slowness = judge(record, pools.get(record.host.pool) ?? 0);
+      }
+      const slow = new Set(all.filter(each => each.slowness > SLOW_FACTOR));
       const slowRacks = findSlowRacks(slow);
       const changes: SpeedChange[] = [];
       for (const record of all) {
-        const {host} = record;
+        const {host, slowness} = record;
         const isSlow = slow.has(record) || slowRacks.has(host.rack);
         if (isSlow === record.slow) continue;
         record.slow = isSlow;
-        changes.push({host, slow: isSlow, slowness: judge(record, now)});
+        changes.push({host, slow: isSlow, slowness});
       }
       return changes;
     },
     isSlow: hostId => records.get(hostId)?.slow ?? false,
-    getSlowness(hostId, now) {
-      const record = records.get(hostId);
-      return record ? judge(record, now) : 1;
-    },
+    getSlowness: hostId => records.get(hostId)?.slowness ?? 1,
     retain(hostIds) {
       for (const id of records.keys()) {
         if (!hostIds.has(id)) records.delete(id);
@@ -176,6 +205,10 @@
   };
 }
 
+function countRuns({endedRuns, runningRuns}: SpeedRecord): number {
+  return endedRuns + runningRuns;
+}
+
 function toLogarithm(slowness: number): number {
   return Math.log(Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, slowness)));
 }
--- a/src/decisions/workflows/run_progress.ts
+++ b/src/decisions/workflows/run_progress.ts
@@ -20,6 +20,16 @@
   return elapsedMs > usualMs ? elapsedMs : undefined;
 }
 
+/**
+ * Returns the time in ms that a run took that has ended at `endedAt` at the
+ * latest; a report may list its end much later, so progress counts if it is
+ * known.
+ */
+export function measureRunMs(placement: Placement, endedAt: number): number {
+  const elapsedMs = endedAt - placement.confirmedAt;
+  return Math.min(elapsedMs, projectRunMs(placement, Infinity) ?? elapsedMs);
+}
+
 /**
  * Returns the time in ms that a checkpointed run gains if it continues on a
  * host of usual speed; negative if it loses.
