--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -39,8 +39,11 @@
 }: FaultContext): ApplyFault {
   const {entries, stores, platform} = site;
   const {fleet, keyValue} = platform;
-  /** Latest fault of each target; an earlier one doesn't end it. */
-  const latest = new Map<object, Fault>();
+  /**
+   * Latest fault of each target by slot, as a store can be slow and lose answers
+   * at once; an earlier fault of the slot doesn't end a later one.
+   */
+  const latest = new Map<string, Map<object, Fault>>();
 
   function choose<T>(targets: readonly T[], {target, wide}: Fault) {
     return wide ? targets : [targets[target % targets.length]];
@@ -49,22 +52,25 @@
   /** Applies a fault to targets and ends it where no later one has begun. */
   async function hold<T extends object>(
     fault: Fault,
+    slot: string,
     targets: readonly T[],
     set: (target: T, on: boolean) => void,
   ): Promise<void> {
+    const inSlot = latest.get(slot) ?? new Map<object, Fault>();
+    latest.set(slot, inSlot);
     for (const target of targets) {
-      latest.set(target, fault);
+      inSlot.set(target, fault);
       set(target, true);
     }
     await delay(fault.forMs);
     for (const target of targets) {
-      if (latest.get(target) === fault) set(target, false);
+      if (inSlot.get(target) === fault) set(target, false);
     }
   }
 
   function holdLinks(fault: Fault): Promise<void> {
     const links = choose<Link>(site.links[fault.link ?? LinkKind.Store], fault);
-    return hold(fault, links, (link, on) =>
+    return hold(fault, 'link', links, (link, on) =>
       link.setFault(on ? fault.kind : undefined, fault.amount),
     );
   }
@@ -74,7 +80,7 @@
     set: (faults: StoreServer['faults'], on: boolean) => void,
   ): Promise<void> {
     const all = stores.map(({faults}) => faults);
-    return hold(fault, choose(all, fault), set);
+    return hold(fault, fault.kind, choose(all, fault), set);
   }
 
   function pickEntry({target, wide}: Fault): Entry {
@@ -138,7 +144,7 @@
     const faults = fleet.getHost(pickMachine(fault))?.faults;
     if (!faults) return;
     const hangs = fault.kind === FaultKind.HostHang;
-    await hold(fault, [faults], (target, on) => {
+    await hold(fault, 'host', [faults], (target, on) => {
       target.hanging = on && hangs;
       target.failing = on && !hangs;
     });
@@ -188,7 +194,7 @@
       case FaultKind.HostErrors:
         return spoilHost(fault);
       case FaultKind.LateOrders:
-        return hold(fault, [fleet.faults], (faults, on) => {
+        return hold(fault, fault.kind, [fleet.faults], (faults, on) => {
           const share = on ? fault.amount / PERCENT : 0;
           faults.delayedOrders = {share, afterMs: fault.forMs / 2};
         });
