--- a/bench/soak/submission.ts
+++ b/bench/soak/submission.ts
@@ -38,6 +38,8 @@
   ['orders', 'desk'],
   ['open', 'planner'],
 ]);
+/** States that a workflow doesn't leave. */
+export const FINAL_STATES = ['completed', 'failed', 'cancelled'];
 /** Queue whose callers need no key. */
 export const PUBLIC_QUEUE = 'open';
 /** Failed runs of a task after which its workflow fails. */
--- a/features/soak/soak.steps.ts
+++ b/features/soak/soak.steps.ts
@@ -8,7 +8,10 @@
 import {shrinkFaults} from '../../bench/soak/shrink';
 import {Check} from '../../bench/soak/verdict';
 
-const SOAK = ['--import', 'tsx', 'bench/soak/main.ts', '--discard'];
+const SOAK = [
+  ...['--import', 'tsx', 'bench/soak/main.ts'],
+  ...['--entries', '3', '--discard'],
+];
 
 let soak: ChildProcess | undefined;
 let output = '';
