--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -8,7 +8,7 @@
 import {Random} from './random';
 import {RunHistory} from './run_history';
 import {createStateCheck} from './state_check';
-import {CallEnd, FINAL_STATES, Submission, drawSubmission} from './submission';
+import {CallEnd, Submission, drawSubmission} from './submission';
 import {Check, Verdict} from './verdict';
 
 /** Callers that submit workflows without pause and follow them to their end. */
