--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -331,7 +331,7 @@
     placement: Placement,
     running: HoldReport['running'][number],
   ): void {
-    placement.confirmed = true;
+    confirm(placement);
     placement.listed = true;
     room.starting.delete(task);
     onBegun(task);
@@ -480,7 +480,7 @@
    * its end.
    */
   function handleSettled(placement: Placement): void {
-    placement.confirmed = true;
+    confirm(placement);
     placement.lastUnsettledReport = Math.min(
       placement.lastUnsettledReport,
       reports,
@@ -533,6 +533,7 @@
       const {placement} = task;
       if (!placement || !isCurrent(task, placement)) return;
       if (placement.stopping) return dropRun(task, 'stopped before start');
+      placement.orderedAt = performance.now();
       void hold();
       void orders.start(task, placement, ticket);
     },
@@ -562,6 +563,11 @@
   };
 }
 
+function confirm(placement: Placement): void {
+  if (!placement.confirmed) placement.confirmedAt = performance.now();
+  placement.confirmed = true;
+}
+
 function createRoom(host: TaskHost, tasks: Iterable<TaskRecord>): HostRoom {
   const room: HostRoom = {
     host,
