Soak: let hosts drain in calm too

Cause: a draining host was played within storms only, whose other faults excuse a start on it that comes too late. Change: draining is planned work; the next storm waits for its end.

--- a/bench/soak/fault.ts
+++ b/bench/soak/fault.ts
@@ -64,4 +64,5 @@
   FaultKind.Reload,
   FaultKind.Configure,
   FaultKind.Wave,
+  FaultKind.HostDrain,
 ]);
--- a/bench/soak/plan_faults.ts
+++ b/bench/soak/plan_faults.ts
@@ -50,8 +50,12 @@
   const faults: Fault[] = [];
   let atMs = FIRST_AT_MS;
   while (atMs < durationMs) {
-    faults.push(drawFault(random, random.pick([...PLANNED_KINDS]), atMs));
+    const planned = drawFault(random, random.pick([...PLANNED_KINDS]), atMs);
+    faults.push(planned);
     atMs += random.between(500, 2_500);
+    if (planned.kind === FaultKind.HostDrain) {
+      atMs += BOUNDS.drainMs + planned.forMs;
+    }
     if (atMs >= durationMs) break;
     const stormMs = Math.min(STORM_MS, durationMs - atMs);
     for (let count = random.between(2, 6); count > 0; count -= 1) {
