Move the placement pass into a pure module

Cause: the stages of a pass were wired in the actor, so no test and no other caller could run a pass without sessions and a store. Change: runPlacementPass in decisions holds the stages in their order; the actor keeps the filter of the advice service and the starts.

--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -7,18 +7,14 @@
   TaskPhase,
   TaskRecord,
   WorkflowRecord,
-  createCandidateOrder,
   createPlacement,
-  createReservations,
-  createStartLimit,
-  createUnplaceableSizes,
   getCriticalPathMs,
   getDueAt,
   getFirstUnfinishedOccurrence,
-  isFinal,
   getUrgency,
+  isFinal,
   listReadyGroups,
-  placeTasks,
+  runPlacementPass,
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {
@@ -104,41 +100,12 @@
   }
 
   function placePool(pass: PlacementPass): void {
-    const {rooms} = pass;
-    const order = createCandidateOrder(pass);
-    const limit = createStartLimit();
-    const reservations = createReservations();
-    const unplaceable = createUnplaceableSizes();
-
-    function placeGroup(
-      {workflow}: WorkflowRecord,
-      group: readonly TaskRecord[],
-    ): readonly PlacedTask[] {
-      const {gang} = group[0].step;
-      const waiting = limit.select(group.filter(isWaiting));
-      if (waiting.length === 0) return [];
-      if (gang && waiting.length < group.length) return [];
-      const isAdvised = getFilter(workflow, waiting);
-      const placed = placeTasks(
-        waiting,
-        rooms,
-        room => isAdvised(room) && reservations.mayUse(waiting[0], room),
-        unplaceable,
-      );
-      if (gang && placed.length > 0) alignRuns(placed);
-      if (placed.length < waiting.length) {
-        requestTickets(workflow, waiting, rooms);
-        const chosen = new Set(placed.map(({task}) => task));
-        reservations.consider(waiting.filter(task => !chosen.has(task)));
-      }
-      return placed;
-    }
-
-    for (let next = order.next(); next; next = order.next()) {
-      const {record, groups} = next;
-      const placed = groups.flatMap(group => placeGroup(record, group));
-      if (placed.length > 0) start(record, placed);
-    }
+    runPlacementPass(pass, {
+      getFilter,
+      onUnplaced: (workflow, waiting) =>
+        requestTickets(workflow, waiting, pass.rooms),
+      start,
+    });
   }
 
   function getFilter(
@@ -166,12 +133,6 @@
     });
   }
 
-  /** Gives all members of a gang the same run number. */
-  function alignRuns(placed: readonly PlacedTask[]): void {
-    const run = Math.max(...placed.map(({task}) => task.run));
-    for (const {task} of placed) task.run = run;
-  }
-
   function start(record: WorkflowRecord, placed: readonly PlacedTask[]): void {
     const now = performance.now();
     for (const {task, room} of placed) {
@@ -218,10 +179,6 @@
   };
 }
 
-function isWaiting({phase}: TaskRecord): boolean {
-  return phase === TaskPhase.Waiting;
-}
-
 function hasWaiting(group: readonly TaskRecord[]): boolean {
-  return group.some(isWaiting);
+  return group.some(({phase}) => phase === TaskPhase.Waiting);
 }
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -15,6 +15,7 @@
 export * from './plan_pools';
 export * from './plan_wave';
 export * from './reservations';
+export * from './run_placement_pass';
 export * from './run_times';
 export * from './start_limit';
 export * from './stored_progress';
--- /dev/null
+++ b/src/decisions/workflows/run_placement_pass.ts
@@ -0,0 +1,83 @@
+import {Workflow} from '../../types/workflow';
+import {createCandidateOrder} from './candidate_order';
+import {HostRoom} from './host_room';
+import {PlacedTask, placeTasks} from './place_tasks';
+import {PlacementPass} from './placement_pass';
+import {createReservations} from './reservations';
+import {createStartLimit} from './start_limit';
+import {TaskPhase, TaskRecord} from './task_record';
+import {createUnplaceableSizes} from './unplaceable_sizes';
+import {WorkflowRecord} from './workflow_record';
+
+/** Conditions and effects of a placement pass. */
+export interface PlacementEffects {
+  /** Returns which hosts may run a group's waiting tasks at all. */
+  getFilter(
+    workflow: Workflow,
+    waiting: readonly TaskRecord[],
+  ): (room: HostRoom) => boolean;
+  /** Called with the waiting tasks of a group if some of them found no host. */
+  onUnplaced(workflow: Workflow, waiting: readonly TaskRecord[]): void;
+  /** Starts the tasks of a workflow that were placed. */
+  start(record: WorkflowRecord, placed: readonly PlacedTask[]): void;
+}
+
+/**
+ * Decides which waiting tasks of one pool start now, and on which hosts.
+ *
+ * The stages are the order of the candidates, the limit per organisation, the
+ * reservations and the choice of the host.
+ *
+ * @param pass hosts and candidates
+ * @param effects conditions and effects of the placements
+ */
+export function runPlacementPass(
+  pass: PlacementPass,
+  {getFilter, onUnplaced, start}: PlacementEffects,
+): void {
+  const {rooms} = pass;
+  const order = createCandidateOrder(pass);
+  const limit = createStartLimit();
+  const reservations = createReservations();
+  const unplaceable = createUnplaceableSizes();
+
+  function placeGroup(
+    {workflow}: WorkflowRecord,
+    group: readonly TaskRecord[],
+  ): readonly PlacedTask[] {
+    const {gang} = group[0].step;
+    const waiting = limit.select(group.filter(isWaiting));
+    if (waiting.length === 0) return [];
+    if (gang && waiting.length < group.length) return [];
+    const isAllowed = getFilter(workflow, waiting);
+    const placed = placeTasks(
+      waiting,
+      rooms,
+      room => isAllowed(room) && reservations.mayUse(waiting[0], room),
+      unplaceable,
+    );
+    if (gang && placed.length > 0) alignRuns(placed);
+    if (placed.length < waiting.length) {
+      onUnplaced(workflow, waiting);
+      const chosen = new Set(placed.map(({task}) => task));
+      reservations.consider(waiting.filter(task => !chosen.has(task)));
+    }
+    return placed;
+  }
+
+  for (let next = order.next(); next; next = order.next()) {
+    const {record, groups} = next;
+    const placed = groups.flatMap(group => placeGroup(record, group));
+    if (placed.length > 0) start(record, placed);
+  }
+}
+
+/** Gives all members of a gang the same run number. */
+function alignRuns(placed: readonly PlacedTask[]): void {
+  const run = Math.max(...placed.map(({task}) => task.run));
+  for (const {task} of placed) task.run = run;
+}
+
+function isWaiting({phase}: TaskRecord): boolean {
+  return phase === TaskPhase.Waiting;
+}
