Keep hosts for large work that finds no room

Load: a stream of small tasks takes every gap as it appears, so a task that needs several of them waits until a host empties by chance. Cause: a pass places what fits now, in order of urgency, and knows nothing of what will end. A gang gets its set of hosts as a whole, of one rack if it wants one. All of it is recomputed in each pass and looks at nothing while no large work waits.

--- a/features/platform/translation.steps.ts
+++ b/features/platform/translation.steps.ts
@@ -96,7 +96,12 @@
   });
   if (configuration) platform.configure(configuration);
   const log = createLog({member: 'entry-1'}, LogLevel.Error);
-  entry = startPlatformEntryHost(createSettings(), createWorkflowMeter(), log);
+  entry = startPlatformEntryHost(
+    createSettings(),
+    {looksAhead: true},
+    createWorkflowMeter(),
+    log,
+  );
   const hasLeader = () => platform.keyValue.get('live/leader') !== undefined;
   await waitFor(START_TIMEOUT_S, hasLeader);
   if (configuration) {
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -279,6 +279,7 @@
         },
         machineTimes: TIMES,
         processorShare: 1,
+        looksAhead: true,
         leaderLeaseMs: TIMES.leaderLeaseMs,
         times: TIMES,
         log: createLog({member: id}, LogLevel.Error),
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -91,6 +91,8 @@
   readonly registry: Mirror<TaskHost>;
   /** Returns the configured organisations by name. */
   readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -124,6 +126,7 @@
   times,
   registry,
   getOrganisations,
+  looksAhead,
   unixNow,
   log,
   onFenced,
@@ -146,6 +149,7 @@
     tickets,
     runTimes,
     getOrganisations,
+    looksAhead,
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  LateReservation,
   PlacedTask,
   PlacementCandidate,
   PlacementPass,
@@ -8,6 +9,7 @@
   TaskRecord,
   WorkflowRecord,
   createPlacement,
+  createReservationWatch,
   getCriticalPathMs,
   getDueAt,
   getFirstUnfinishedOccurrence,
@@ -43,6 +45,8 @@
   readonly runTimes: RunTimes;
   /** Returns the configured organisations by name. */
   readonly getOrganisations: () => ReadonlyMap<string, Organisation>;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -61,10 +65,13 @@
   tickets,
   runTimes,
   getOrganisations,
+  looksAhead,
   store,
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
+  const watch = createReservationWatch();
+
   function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
     const byPool = new Map<string, PlacementCandidate[]>();
@@ -100,12 +107,30 @@
   }
 
   function placePool(pass: PlacementPass): void {
-    runPlacementPass(pass, {
+    const reservations = runPlacementPass(pass, {
       getFilter,
       onUnplaced: (workflow, waiting) =>
         requestTickets(workflow, waiting, pass.rooms),
       start,
     });
+    watch.review(pass.pool, reservations, pass.now).forEach(logLate);
+  }
+
+  function logLate({
+    reservation: {task, taskCount, hostIds, at},
+    heldMs,
+    promisedMs,
+  }: LateReservation): void {
+    log.warn('reservation slips', {
+      request: task.workflow.id,
+      first: task.name,
+      tasks: taskCount,
+      hosts: hostIds.length,
+      host: hostIds[0],
+      heldMs: Math.round(heldMs),
+      promisedMs: Math.round(promisedMs),
+      expectedInMs: Math.round(at - performance.now()),
+    });
   }
 
   function getFilter(
@@ -133,6 +158,10 @@
     });
   }
 
+  function listTasks({host}: HostRoom): Iterable<TaskRecord> {
+    return sessions.all.get(host.id)?.tasks.values() ?? [];
+  }
+
   function start(record: WorkflowRecord, placed: readonly PlacedTask[]): void {
     const now = performance.now();
     for (const {task, room} of placed) {
@@ -173,6 +202,7 @@
           candidates,
           runTimes,
           organisations: getOrganisations(),
+          listTasks: looksAhead ? listTasks : undefined,
         });
       }
     },
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -80,3 +80,26 @@
   if (step.perHostLimit === 0) return true;
   return (groups.get(group) ?? 0) < step.perHostLimit;
 }
+
+/**
+ * Returns how many tasks of a group fit on a host, at most a limit, without
+ * regard to what is kept for others.
+ */
+export function countFitting(
+  room: HostRoom,
+  step: Step,
+  group: string,
+  limit: number,
+): number {
+  if (!hasRoom(room, step, group)) return 0;
+  const {free, groups} = room;
+  const need = getRequiredCapacity(step);
+  const ratios = [limit];
+  if (need.cpuMillis > 0) ratios.push(free.cpuMillis / need.cpuMillis);
+  if (need.memoryMb > 0) ratios.push(free.memoryMb / need.memoryMb);
+  if (need.accelerators > 0) ratios.push(free.accelerators / need.accelerators);
+  if (step.perHostLimit > 0) {
+    ratios.push(step.perHostLimit - (groups.get(group) ?? 0));
+  }
+  return Math.floor(Math.min(...ratios));
+}
--- a/src/decisions/workflows/place_tasks.ts
+++ b/src/decisions/workflows/place_tasks.ts
@@ -1,5 +1,12 @@
 import {isStartingSuspect, isSuspect, mayStartOn} from './host_crash';
-import {HostRoom, hasRoom, releaseRoom, reserveRoom} from './host_room';
+import {
+  HostRoom,
+  countFitting,
+  hasRoom,
+  releaseRoom,
+  reserveRoom,
+} from './host_room';
+import {NO_RESERVATIONS, Reservations} from './reservations';
 import {TaskRecord} from './task_record';
 import {UnplaceableSizes} from './unplaceable_sizes';
 
@@ -27,35 +34,45 @@
  * @param isAllowed returns whether a host may run the tasks at all
  * @param unplaceable sizes for which no candidate host has room; extended
  *     unless hosts were excluded for other reasons
+ * @param reservations room that is kept for more urgent tasks
  */
 export function placeTasks(
   tasks: readonly TaskRecord[],
   rooms: readonly HostRoom[],
   isAllowed: (room: HostRoom) => boolean,
   unplaceable: UnplaceableSizes,
+  reservations: Reservations = NO_RESERVATIONS,
 ): readonly PlacedTask[] {
   if (tasks.length === 0) return [];
-  const {step} = tasks[0];
-  if (unplaceable.has(step)) return [];
+  const [{step}] = tasks;
+  const runMs = reservations.isEmpty()
+    ? Infinity
+    : reservations.getRunMs(tasks[0]);
+  if (unplaceable.has(step, runMs)) return [];
   const allowed = rooms.filter(isAllowed);
-  if (step.gang) return placeGang(tasks, allowed);
-  const placed = placeEach(tasks, allowed);
+  if (step.gang) return placeGang(tasks, allowed, reservations);
+  const refusals = reservations.countRefusals();
+  const placed = placeEach(tasks, allowed, reservations);
   if (placed.length === tasks.length) return placed;
   const isBarred =
     allowed.length < rooms.length ||
     tasks.some(isSuspect) ||
     rooms.some(isStartingSuspect);
-  if (!isBarred) unplaceable.add(step);
+  if (isBarred) return placed;
+  // Tasks that end sooner may use what is kept for others.
+  const isKept = reservations.countRefusals() > refusals;
+  unplaceable.add(step, isKept ? runMs : 0);
   return placed;
 }
 
 function placeEach(
   tasks: readonly TaskRecord[],
   rooms: readonly HostRoom[],
+  reservations: Reservations,
 ): PlacedTask[] {
   const placed: PlacedTask[] = [];
   for (const task of tasks) {
-    const room = chooseRoom(task, rooms);
+    const room = chooseRoom(task, rooms, reservations);
     if (!room) {
       if (isSuspect(task)) continue;
       // The other tasks of the step need the same room.
@@ -63,6 +80,7 @@
     }
     reserveRoom(room, task.step, task.group);
     room.starting.add(task);
+    reservations.use(task, room, 1);
     placed.push({task, room});
   }
   return placed;
@@ -75,29 +93,58 @@
 function placeGang(
   tasks: readonly TaskRecord[],
   rooms: readonly HostRoom[],
+  reservations: Reservations,
 ): readonly PlacedTask[] {
-  const racks = tasks[0].step.sameRack
-    ? [...new Set(rooms.map(({host}) => host.rack))]
-    : [];
-  const choices = [
-    ...racks.map(rack => rooms.filter(({host}) => host.rack === rack)),
-    rooms,
-  ];
+  const [{step}] = tasks;
+  const choices = [...(step.sameRack ? listRacks(tasks, rooms) : []), rooms];
   for (const choice of choices) {
-    const placed = placeEach(tasks, choice);
+    const placed = placeEach(tasks, choice, reservations);
     if (placed.length === tasks.length) return placed;
     for (const {task, room} of placed) {
       releaseRoom(room, task.step, task.group);
       room.starting.delete(task);
+      reservations.use(task, room, -1);
     }
   }
   return [];
 }
 
+/**
+ * Returns the hosts of each rack with room for a whole gang, the rack with its
+ * data and then those with the least room first, so that others stay free for
+ * larger gangs.
+ */
+function listRacks(
+  tasks: readonly TaskRecord[],
+  rooms: readonly HostRoom[],
+): readonly (readonly HostRoom[])[] {
+  const [{step, group}] = tasks;
+  const byRack = new Map<string, {rooms: HostRoom[]; count: number}>();
+  for (const room of rooms) {
+    const count = countFitting(room, step, group, tasks.length);
+    if (count === 0) continue;
+    const rack = byRack.get(room.host.rack) ?? {rooms: [], count: 0};
+    byRack.set(room.host.rack, rack);
+    rack.rooms.push(room);
+    rack.count += count;
+  }
+  const dataRack = byRack.get(step.dataRack);
+  return [...byRack.values()]
+    .filter(({count}) => count >= tasks.length)
+    .sort((a, b) => rank(a) - rank(b))
+    .map(rack => rack.rooms);
+
+  function rank(rack: {readonly count: number}): number {
+    return rack === dataRack ? 0 : rack.count;
+  }
+}
+
 function chooseRoom(
   task: TaskRecord,
   rooms: readonly HostRoom[],
+  reservations: Reservations,
 ): HostRoom | undefined {
+  const isKept = !reservations.isEmpty();
   let best: HostRoom | undefined;
   let bestScore = -Infinity;
   for (const room of rooms) {
@@ -105,6 +152,7 @@
     if (!mayStartOn(task, room)) continue;
     const score = scoreRoom(task, room);
     if (score <= bestScore) continue;
+    if (isKept && !reservations.mayUse(task, room)) continue;
     best = room;
     bestScore = score;
   }
--- a/src/decisions/workflows/placement_pass.ts
+++ b/src/decisions/workflows/placement_pass.ts
@@ -24,4 +24,9 @@
   readonly runTimes: RunTimes;
   /** Configured organisations by name. */
   readonly organisations: ReadonlyMap<string, Organisation>;
+  /**
+   * Returns the tasks that are placed on a host; absent if the pass does not
+   * look ahead.
+   */
+  readonly listTasks?: (room: HostRoom) => Iterable<TaskRecord>;
 }
--- a/src/decisions/workflows/run_placement_pass.ts
+++ b/src/decisions/workflows/run_placement_pass.ts
@@ -3,8 +3,8 @@
 import {HostRoom} from './host_room';
 import {PlacedTask, placeTasks} from './place_tasks';
 import {PlacementPass} from './placement_pass';
-import {createReservations} from './reservations';
-import {createStartLimit} from './start_limit';
+import {Reservations, createReservations} from './reservations';
+import {StartLimit, createStartLimit} from './start_limit';
 import {TaskPhase, TaskRecord} from './task_record';
 import {createUnplaceableSizes} from './unplaceable_sizes';
 import {WorkflowRecord} from './workflow_record';
@@ -30,15 +30,17 @@
  *
  * @param pass hosts and candidates
  * @param effects conditions and effects of the placements
+ * @param limit limit per organisation
+ * @returns what is kept for work that found no host
  */
 export function runPlacementPass(
   pass: PlacementPass,
   {getFilter, onUnplaced, start}: PlacementEffects,
-): void {
+  limit: StartLimit = createStartLimit(),
+): Reservations {
   const {rooms} = pass;
   const order = createCandidateOrder(pass);
-  const limit = createStartLimit();
-  const reservations = createReservations();
+  const reservations = createReservations(pass);
   const unplaceable = createUnplaceableSizes();
 
   function placeGroup(
@@ -53,14 +55,18 @@
     const placed = placeTasks(
       waiting,
       rooms,
-      room => isAllowed(room) && reservations.mayUse(waiting[0], room),
+      isAllowed,
       unplaceable,
+      reservations,
     );
     if (gang && placed.length > 0) alignRuns(placed);
     if (placed.length < waiting.length) {
       onUnplaced(workflow, waiting);
       const chosen = new Set(placed.map(({task}) => task));
-      reservations.consider(waiting.filter(task => !chosen.has(task)));
+      reservations.consider(
+        waiting.filter(task => !chosen.has(task)),
+        isAllowed,
+      );
     }
     return placed;
   }
@@ -70,6 +76,7 @@
     const placed = groups.flatMap(group => placeGroup(record, group));
     if (placed.length > 0) start(record, placed);
   }
+  return reservations;
 }
 
 /** Gives all members of a gang the same run number. */
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -45,6 +45,8 @@
    * larger share are preferred as leaders.
    */
   readonly processorShare: number;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   readonly times: CoordinatorTimes;
   readonly log: Log;
 }
@@ -121,6 +123,7 @@
   machineTimes,
   leaderLeaseMs,
   processorShare,
+  looksAhead,
   times,
   log,
 }: WorkflowEntryHostOptions): WorkflowEntryHost {
@@ -166,6 +169,7 @@
         times,
         registry,
         getOrganisations: () => latest?.organisations ?? new Map(),
+        looksAhead,
         unixNow,
         log,
         onFenced: cause => leadership.resign(cause),
