Keep hosts only for large work that can be in time then

Cause: work that will miss its objective anyway kept hosts from work that could meet it; one host was looked at per reservation without its limit per host. Change: candidates carry slackMs, the time by which their start may be delayed before they lose their rank; hosts are kept only within it. Seemingly fast runs (continued, or started by an earlier leader) count at most threefold.

--- a/features/workflows/looking_ahead.feature
+++ b/features/workflows/looking_ahead.feature
@@ -56,6 +56,15 @@
     Then all placements are those without looking ahead
     And no pass looked at what runs on a host
 
+  Scenario: A pass over many hosts looks at what runs on few of them
+    Given a pool of 400 hosts
+    And each host runs a task of 10000 thousandths for 3000 ms
+    When 20 tasks of 8000 thousandths for 3000 ms are submitted at 100 ms
+    And a task of 4000 thousandths for 2000 ms is submitted at 120 ms as "long"
+    And the pool runs for 1 s
+    Then "long" starts on any host before 200 ms
+    And each pass looked at what runs on at most 200 hosts
+
   Scenario: Room is kept on hosts that stay
     Given a pool of 2 hosts
     And "host-1" runs tasks of 6000 thousandths for 400 ms and 500 ms
@@ -77,11 +86,20 @@
     Then "long" starts on "host-1" before 200 ms
     And no room was kept
 
+  Scenario: Work that will miss its objective anyway keeps no room from others
+    Given a pool of 1 hosts
+    And "host-1" runs tasks of 6000 thousandths for 2000 ms and 2000 ms
+    When a task of 14000 thousandths for 600 ms is submitted at 100 ms
+    And a task of 4000 thousandths for 1000 ms is submitted at 140 ms as "long"
+    And the pool runs for 1 s
+    Then "long" starts on "host-1" before 200 ms
+    And no room was kept
+
   Scenario: A reservation that keeps slipping is noticed
     Given a pool of 1 hosts
     And run times are declared as 10 of 100 of the actual ones
     And "host-1" runs tasks of 6000 thousandths for 6000 ms and 6000 ms
-    When a task of 14000 thousandths for 600 ms is submitted at 100 ms
+    When a task of 14000 thousandths for 6000 ms is submitted at 100 ms
     And a task of 1000 thousandths for 3000 ms is submitted every 200 ms
     And the pool runs for 5 s
     Then the reservation of "large" was noticed as late between 1 and 4 times
--- a/features/workflows/pass_simulation.ts
+++ b/features/workflows/pass_simulation.ts
@@ -14,6 +14,7 @@
   createStartLimit,
   createWorkflowRecord,
   getGroup,
+  getSlackMs,
   getUrgency,
   releaseRoom,
   runPlacementPass,
@@ -146,7 +147,12 @@
         expectedMs,
         now,
       );
-      return {record, urgency, groups: [getGroup(record, 0, 0)]};
+      return {
+        record,
+        urgency,
+        slackMs: getSlackMs(urgency, expectedMs, now),
+        groups: [getGroup(record, 0, 0)],
+      };
     });
   }
 
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -13,6 +13,7 @@
   getCriticalPathMs,
   getDueAt,
   getFirstUnfinishedOccurrence,
+  getSlackMs,
   getUrgency,
   isFinal,
   listReadyGroups,
@@ -99,7 +100,8 @@
         now,
       );
       const list = byPool.get(workflow.pool);
-      const candidate = {record, urgency, groups};
+      const slackMs = getSlackMs(urgency, remainingMs, now);
+      const candidate = {record, urgency, slackMs, groups};
       if (list) list.push(candidate);
       else byPool.set(workflow.pool, [candidate]);
     }
--- a/src/decisions/workflows/expected_ends.ts
+++ b/src/decisions/workflows/expected_ends.ts
@@ -5,6 +5,11 @@
 
 /** Part of its run time so far that an overdue run is expected to still take. */
 const OVERDUE_FRACTION = 0.25;
+/**
+ * Maximum speed of a run as a multiple of the estimate; one that continued from
+ * a checkpoint, or that an earlier leader started, seems to be faster.
+ */
+const MAX_SPEED = 3;
 /** Percent from which the progress of a run says more than its estimate. */
 const MIN_PERCENT = 5;
 
@@ -33,13 +38,16 @@
   const {orderedAt, progressedAt, percent} = placement;
   const estimateMs = runTimes.estimate(workflow.queue, step);
   const elapsedMs = now - orderedAt;
-  const doneMs = progressedAt - orderedAt;
-  const left = 1 - Math.min(1, percent / 100);
-  const totalMs =
+  const doneShare = Math.min(1, percent / 100);
+  const ownMs = Math.max(
+    (progressedAt - orderedAt) / doneShare,
+    estimateMs / MAX_SPEED,
+  );
+  const remainingMs =
     percent < MIN_PERCENT
-      ? estimateMs
-      : doneMs + left * (doneMs + left * estimateMs);
-  const remainingMs = totalMs - elapsedMs;
+      ? estimateMs - elapsedMs
+      : (1 - doneShare) * (doneShare * ownMs + (1 - doneShare) * estimateMs) -
+        (now - progressedAt);
   return now + (remainingMs > 0 ? remainingMs : elapsedMs * OVERDUE_FRACTION);
 }
 
@@ -68,13 +76,12 @@
  * @param now current time; tasks that fit already do so from now on
  */
 export function listFitTimes(
-  {free, host}: HostRoom,
+  {free}: HostRoom,
   releases: readonly Release[],
   step: Step,
   limit: number,
   now: number,
 ): readonly number[] {
-  if (step.label !== '' && !host.labels.includes(step.label)) return [];
   const need = getRequiredCapacity(step);
   const times: number[] = [];
   let {cpuMillis, memoryMb, accelerators} = free;
@@ -92,7 +99,7 @@
 
   fill(now);
   for (const {at, step: ended} of releases) {
-    if (times.length === limit) break;
+    if (times.length >= limit) break;
     const released = getRequiredCapacity(ended);
     cpuMillis += released.cpuMillis;
     memoryMb += released.memoryMb;
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -63,20 +63,22 @@
   else room.groups.delete(group);
 }
 
+/** Returns whether a host has the label that a step needs. */
+export function hasLabel({host}: HostRoom, {label}: Step): boolean {
+  return label === '' || host.labels.includes(label);
+}
+
 /**
  * Returns whether a host has the free capacity and the label that a task needs,
  * within its per-host limit.
  */
-export function hasRoom(
-  {host, free, groups}: HostRoom,
-  step: Step,
-  group: string,
-): boolean {
+export function hasRoom(room: HostRoom, step: Step, group: string): boolean {
+  const {free, groups} = room;
   const need = getRequiredCapacity(step);
   if (free.cpuMillis < need.cpuMillis) return false;
   if (free.memoryMb < need.memoryMb) return false;
   if (free.accelerators < need.accelerators) return false;
-  if (step.label !== '' && !host.labels.includes(step.label)) return false;
+  if (!hasLabel(room, step)) return false;
   if (step.perHostLimit === 0) return true;
   return (groups.get(group) ?? 0) < step.perHostLimit;
 }
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -4,6 +4,7 @@
 export * from './demand_forecast';
 export * from './encode_progress';
 export * from './expected_ends';
+export * from './find_fits';
 export * from './host_crash';
 export * from './host_health';
 export * from './host_room';
--- a/src/decisions/workflows/order_workflows.ts
+++ b/src/decisions/workflows/order_workflows.ts
@@ -61,6 +61,18 @@
   return {rank: unixNow + remainingMs <= latestAt ? 2 : 3, at: latestAt};
 }
 
+/**
+ * Returns the time in ms by which a workflow may be delayed before it loses its
+ * rank; negative in the last rank.
+ */
+export function getSlackMs(
+  {rank, at}: Urgency,
+  remainingMs: number,
+  unixNow: number,
+): number {
+  return rank === 0 ? Infinity : at - unixNow - remainingMs;
+}
+
 /** Compares two urgencies for sorting, most urgent first. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
   return a.rank - b.rank || a.at - b.at;
--- a/src/decisions/workflows/placement_pass.ts
+++ b/src/decisions/workflows/placement_pass.ts
@@ -9,6 +9,11 @@
 export interface PlacementCandidate {
   readonly record: WorkflowRecord;
   readonly urgency: Urgency;
+  /**
+   * Time in ms by which its start may be delayed before it loses its rank;
+   * negative if it has no value any more.
+   */
+  readonly slackMs: number;
   /** Groups with waiting tasks whose dependencies are done. */
   readonly groups: readonly (readonly TaskRecord[])[];
 }
--- a/src/decisions/workflows/reservations.ts
+++ b/src/decisions/workflows/reservations.ts
@@ -1,7 +1,8 @@
 import {Step} from '../../types/workflow';
 import {Release, listFitTimes, listReleases} from './expected_ends';
+import {Fit, findFits, findGangFits, getLastAt} from './find_fits';
 import {isStartingSuspect, isSuspect} from './host_crash';
-import {HostRoom, getRequiredCapacity} from './host_room';
+import {HostRoom, getRequiredCapacity, hasLabel} from './host_room';
 import {PlacementPass} from './placement_pass';
 import {RunTimes} from './run_times';
 import {TaskRecord} from './task_record';
@@ -17,17 +18,19 @@
   readonly at: number;
 }
 
-/** Room that is kept for work which does not fit yet. */
+/** Room that is kept in one pass for work which does not fit yet. */
 export interface Reservations {
   /**
    * Considers a reservation for tasks of a group that were not placed.
    *
    * @param unplaced the tasks
    * @param isAllowed returns whether a host may run the tasks at all
+   * @param slackMs time in ms by which their start may be delayed
    */
   consider(
     unplaced: readonly TaskRecord[],
     isAllowed: (room: HostRoom) => boolean,
+    slackMs: number,
   ): void;
   /** Returns whether any room is, or may become, kept. */
   isEmpty(): boolean;
@@ -53,15 +56,11 @@
   readonly spare: {cpuMillis: number; memoryMb: number; accelerators: number};
 }
 
-/** A host and the time from which it has room for tasks of a group. */
-interface Fit {
-  readonly room: HostRoom;
-  readonly at: number;
-}
-
 interface Unplaced {
   readonly tasks: readonly TaskRecord[];
   readonly isAllowed: (room: HostRoom) => boolean;
+  /** Time in ms from which on they need no room for their objective. */
+  readonly startBy: number;
 }
 
 /**
@@ -128,71 +127,41 @@
     for (const unplaced of pending.splice(0)) reserve(unplaced);
   }
 
-  function reserve({tasks, isAllowed}: Unplaced): void {
-    const [{step, avoid}] = tasks;
+  function reserve({tasks, isAllowed, startBy}: Unplaced): void {
+    const [{step, group, avoid}] = tasks;
     const candidates: HostRoom[] = [];
     for (const room of rooms) {
       if (candidates.length === MAX_HOSTS) break;
       if (room.degraded || kept.has(room) || avoid.has(room.host.id)) continue;
-      if (isStartingSuspect(room) || !isAllowed(room)) continue;
-      candidates.push(room);
+      if (!hasLabel(room, step) || !isAllowed(room)) continue;
+      if (!isStartingSuspect(room)) candidates.push(room);
     }
+    const listFits = (room: HostRoom, limit: number) => {
+      const perHost = step.perHostLimit || Infinity;
+      const most = Math.min(limit, perHost - (room.groups.get(group) ?? 0));
+      return listFitTimes(room, getReleases(room), step, most, now);
+    };
     const fits = step.gang
-      ? findGangFits(tasks, candidates)
-      : findFits(tasks, candidates);
+      ? findGangFits(tasks, candidates, listFits, getRackWaitMs(tasks[0]))
+      : findFits(candidates, listFits, now, startBy).slice(
+          0,
+          getLimit(tasks.length),
+        );
     if (fits.length === 0) return;
+    const at = getLastAt(fits);
+    // A gang that fits now was not placed for another reason.
+    if (at <= now || at > startBy) return;
     keep(tasks[0], fits);
   }
 
-  /** Returns the hosts on which the tasks fit first, one task each. */
-  function findFits(
-    tasks: readonly TaskRecord[],
-    candidates: readonly HostRoom[],
-  ): readonly Fit[] {
-    const [{step}] = tasks;
+  /** Returns for how many tasks of a step hosts are kept. */
+  function getLimit(taskCount: number): number {
     const left = Math.floor(rooms.length * MAX_KEPT_SHARE) - kept.size;
-    const count = Math.min(tasks.length, Math.max(left, kept.size > 0 ? 0 : 1));
-    return candidates
-      .flatMap(room => listFits(room, step, 1))
-      .filter(({at}) => at > now)
-      .sort(compareFits)
-      .slice(0, count);
-  }
-
-  /**
-   * Returns the set of hosts on which all members fit first; the hosts of one
-   * rack if the gang is to have one and need not wait much longer for it.
-   */
-  function findGangFits(
-    tasks: readonly TaskRecord[],
-    candidates: readonly HostRoom[],
-  ): readonly Fit[] {
-    const [{step, workflow}] = tasks;
-    const fits = candidates
-      .flatMap(room => listFits(room, step, tasks.length))
-      .sort(compareFits);
-    const anywhere = fits.slice(0, tasks.length);
-    if (anywhere.length < tasks.length) return [];
-    const at = getLastAt(anywhere);
-    if (at <= now) return [];
-    if (!step.sameRack) return anywhere;
-    const waitMs = RACK_WAIT_SHARE * runTimes.estimate(workflow.queue, step);
-    const byRack = new Map<string, Fit[]>();
-    for (const fit of fits) {
-      const {rack} = fit.room.host;
-      const list = byRack.get(rack) ?? [];
-      byRack.set(rack, list);
-      list.push(fit);
-      // The fits are in order, so the first rack with enough has them first.
-      if (list.length < tasks.length) continue;
-      return fit.at <= at + waitMs ? list : anywhere;
-    }
-    return anywhere;
+    return Math.min(taskCount, Math.max(left, kept.size > 0 ? 0 : 1));
   }
 
-  function listFits(room: HostRoom, step: Step, limit: number): Fit[] {
-    const times = listFitTimes(room, getReleases(room), step, limit, now);
-    return times.map(at => ({room, at}));
+  function getRackWaitMs(task: TaskRecord): number {
+    return RACK_WAIT_SHARE * estimate(task, runTimes);
   }
 
   function keep(task: TaskRecord, fits: readonly Fit[]): void {
@@ -239,12 +208,13 @@
   }
 
   return {
-    consider(unplaced, isAllowed) {
+    consider(unplaced, isAllowed, slackMs) {
       if (consideredCount === MAX_RESERVATIONS) return;
       const [task] = unplaced;
-      if (isSuspect(task) || !isLarge(task.step, rooms)) return;
+      // Work that will miss its objective anyway keeps no room from others.
+      if (slackMs <= 0 || isSuspect(task) || !isLarge(task.step, rooms)) return;
       consideredCount += 1;
-      pending.push({tasks: unplaced, isAllowed});
+      pending.push({tasks: unplaced, isAllowed, startBy: now + slackMs});
     },
     isEmpty: () => pending.length === 0 && kept.size === 0,
     countRefusals: () => refusals,
@@ -286,14 +256,6 @@
   );
 }
 
-function compareFits(a: Fit, b: Fit): number {
-  return a.at - b.at;
-}
-
-function getLastAt(fits: readonly Fit[]): number {
-  return fits[fits.length - 1].at;
-}
-
 function add(to: KeptRoom['spare'], step: Step, count: number): void {
   const need = getRequiredCapacity(step);
   to.cpuMillis += count * need.cpuMillis;
--- a/src/decisions/workflows/run_placement_pass.ts
+++ b/src/decisions/workflows/run_placement_pass.ts
@@ -46,6 +46,7 @@
   function placeGroup(
     {workflow}: WorkflowRecord,
     group: readonly TaskRecord[],
+    slackMs: number,
   ): readonly PlacedTask[] {
     const {gang} = group[0].step;
     const waiting = limit.select(group.filter(isWaiting));
@@ -66,14 +67,15 @@
       reservations.consider(
         waiting.filter(task => !chosen.has(task)),
         isAllowed,
+        slackMs,
       );
     }
     return placed;
   }
 
   for (let next = order.next(); next; next = order.next()) {
-    const {record, groups} = next;
-    const placed = groups.flatMap(group => placeGroup(record, group));
+    const {record, groups, slackMs} = next;
+    const placed = groups.flatMap(group => placeGroup(record, group, slackMs));
     if (placed.length > 0) start(record, placed);
   }
   return reservations;
