--- a/features/platform/keys.steps.ts
+++ b/features/platform/keys.steps.ts
@@ -94,7 +94,7 @@
     requiresKeys,
     configurationMs: 3_000,
   };
-  entry = startPlatformEntryHost(settings, meter, log);
+  entry = startPlatformEntryHost(settings, {looksAhead: false}, meter, log);
 }
 
 async function start(needsKeys: boolean): Promise<void> {
--- a/features/workflows/shares.steps.ts
+++ b/features/workflows/shares.steps.ts
@@ -120,6 +120,7 @@
   return {
     record,
     urgency: {priority: 0, rank, at},
+    slackMs: 0,
     groups: [getGroup(record, 0, 0)],
   };
 }
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -101,6 +101,8 @@
    */
   readonly getOrganisations: () =>
     ReadonlyMap<string, Organisation> | undefined;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly log: Log;
@@ -134,6 +136,7 @@
   times,
   registry,
   getOrganisations,
+  looksAhead,
   unixNow,
   log,
   onFenced,
@@ -164,6 +167,7 @@
     runTimes,
     getOrganisations,
     usage,
+    looksAhead,
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  LateReservation,
   OrganisationUsage,
   PlacedTask,
   PlacementCandidate,
@@ -10,18 +11,17 @@
   WaveLimits,
   WorkflowRecord,
   countWaves,
-  createCandidateOrder,
   createPlacement,
-  createReservations,
+  createReservationWatch,
   createStartLimit,
-  createUnplaceableSizes,
   getCriticalPathMs,
   getDueAt,
   getFirstUnfinishedOccurrence,
-  isFinal,
+  getSlackMs,
   getUrgency,
+  isFinal,
   listReadyGroups,
-  placeTasks,
+  runPlacementPass,
   sumCapacities,
 } from '../../decisions/workflows';
 import {Log} from '../../telemetry';
@@ -60,6 +60,8 @@
     ReadonlyMap<string, Organisation> | undefined;
   /** What may be running of each organisation. */
   readonly usage: OrganisationUsage;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -79,11 +81,13 @@
   runTimes,
   getOrganisations,
   usage,
+  looksAhead,
   store,
   unixNow,
   log,
 }: TaskPlacerOptions): TaskPlacer {
   const capLog = createCapLog(log);
+  const watch = createReservationWatch();
 
   function listCandidates(): Map<string, PlacementCandidate[]> {
     const now = unixNow();
@@ -115,7 +119,8 @@
         now,
       );
       const list = byPool.get(workflow.pool);
-      const candidate = {record, urgency, groups};
+      const slackMs = getSlackMs(urgency, remainingMs, now);
+      const candidate = {record, urgency, slackMs, groups};
       if (list) list.push(candidate);
       else byPool.set(workflow.pool, [candidate]);
     }
@@ -149,46 +154,35 @@
   }
 
   function placePool(pass: PlacementPass): void {
-    const {rooms} = pass;
-    const order = createCandidateOrder(pass);
     const limit = createStartLimit({
       organisations: getOrganisations(),
       usage,
       onHeld: held => capLog.record(held),
     });
-    const reservations = createReservations();
-    const unplaceable = createUnplaceableSizes();
-
-    function placeGroup(
-      {workflow}: WorkflowRecord,
-      group: readonly TaskRecord[],
-    ): readonly PlacedTask[] {
-      const {gang} = group[0].step;
-      const waiting = limit.select(group.filter(isWaiting));
-      if (waiting.length === 0) return [];
-      if (gang && waiting.length < group.length) return [];
-      const isAdvised = getFilter(workflow, waiting);
-      const placed = placeTasks(
-        waiting,
-        rooms,
-        room => isAdvised(room) && reservations.mayUse(waiting[0], room),
-        unplaceable,
-      );
-      limit.take(placed.map(({task}) => task));
-      if (gang && placed.length > 0) alignRuns(placed);
-      if (placed.length < waiting.length) {
-        requestTickets(workflow, waiting, rooms);
-        const chosen = new Set(placed.map(({task}) => task));
-        reservations.consider(waiting.filter(task => !chosen.has(task)));
-      }
-      return placed;
-    }
+    const reservations = runPlacementPass(pass, limit, {
+      getFilter,
+      onUnplaced: (workflow, waiting) =>
+        requestTickets(workflow, waiting, pass.rooms),
+      start,
+    });
+    watch.review(pass.pool, reservations, pass.now).forEach(logLate);
+  }
 
-    for (let next = order.next(); next; next = order.next()) {
-      const {record, groups} = next;
-      const placed = groups.flatMap(group => placeGroup(record, group));
-      if (placed.length > 0) start(record, placed);
-    }
+  function logLate({
+    reservation: {task, taskCount, hostIds, at},
+    heldMs,
+    promisedMs,
+  }: LateReservation): void {
+    log.warn('reservation slips', {
+      request: task.workflow.id,
+      first: task.name,
+      tasks: taskCount,
+      hosts: hostIds.length,
+      host: hostIds[0],
+      heldMs: Math.round(heldMs),
+      promisedMs: Math.round(promisedMs),
+      expectedInMs: Math.round(at - performance.now()),
+    });
   }
 
   function getFilter(
@@ -216,10 +210,8 @@
     });
   }
 
-  /** Gives all members of a gang the same run number. */
-  function alignRuns(placed: readonly PlacedTask[]): void {
-    const run = Math.max(...placed.map(({task}) => task.run));
-    for (const {task} of placed) task.run = run;
+  function listTasks({host}: HostRoom): Iterable<TaskRecord> {
+    return sessions.all.get(host.id)?.tasks.values() ?? [];
   }
 
   function start(record: WorkflowRecord, placed: readonly PlacedTask[]): void {
@@ -265,16 +257,13 @@
           runTimes,
           organisations: getOrganisations() ?? new Map(),
           usage,
+          listTasks: looksAhead ? listTasks : undefined,
         });
       }
     },
   };
 }
 
-function isWaiting({phase}: TaskRecord): boolean {
-  return phase === TaskPhase.Waiting;
-}
-
 function hasWaiting(group: readonly TaskRecord[]): boolean {
-  return group.some(isWaiting);
+  return group.some(({phase}) => phase === TaskPhase.Waiting);
 }
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -63,20 +63,45 @@
   else room.groups.delete(group);
 }
 
+/** Returns whether a host has the label that a step needs. */
+export function hasLabel({host}: HostRoom, {label}: Step): boolean {
+  return label === '' || host.labels.includes(label);
+}
+
 /**
  * Returns whether a host has the free capacity and the label that a task needs,
  * within its per-host limit.
  */
-export function hasRoom(
-  {host, free, groups}: HostRoom,
-  step: Step,
-  group: string,
-): boolean {
+export function hasRoom(room: HostRoom, step: Step, group: string): boolean {
+  const {free, groups} = room;
   const need = getRequiredCapacity(step);
   if (free.cpuMillis < need.cpuMillis) return false;
   if (free.memoryMb < need.memoryMb) return false;
   if (free.accelerators < need.accelerators) return false;
-  if (step.label !== '' && !host.labels.includes(step.label)) return false;
+  if (!hasLabel(room, step)) return false;
   if (step.perHostLimit === 0) return true;
   return (groups.get(group) ?? 0) < step.perHostLimit;
 }
+
+/**
+ * Returns how many tasks of a group fit on a host, at most a limit, without
+ * regard to what is kept for others.
+ */
+export function countFitting(
+  room: HostRoom,
+  step: Step,
+  group: string,
+  limit: number,
+): number {
+  if (!hasRoom(room, step, group)) return 0;
+  const {free, groups} = room;
+  const need = getRequiredCapacity(step);
+  const ratios = [limit];
+  if (need.cpuMillis > 0) ratios.push(free.cpuMillis / need.cpuMillis);
+  if (need.memoryMb > 0) ratios.push(free.memoryMb / need.memoryMb);
+  if (need.accelerators > 0) ratios.push(free.accelerators / need.accelerators);
+  if (step.perHostLimit > 0) {
+    ratios.push(step.perHostLimit - (groups.get(group) ?? 0));
+  }
+  return Math.floor(Math.min(...ratios));
+}
--- a/src/decisions/workflows/order_workflows.ts
+++ b/src/decisions/workflows/order_workflows.ts
@@ -73,6 +73,18 @@
   return {priority, rank: hasValue ? 2 : WORTHLESS_RANK, at: latestAt};
 }
 
+/**
+ * Returns the time in ms by which a workflow may be delayed before it loses its
+ * rank; negative in the last rank.
+ */
+export function getSlackMs(
+  {rank, at}: Urgency,
+  remainingMs: number,
+  unixNow: number,
+): number {
+  return rank === 0 ? Infinity : at - unixNow - remainingMs;
+}
+
 /** Compares two urgencies for sorting, most urgent first. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
   const aWorthless = Number(a.rank === WORTHLESS_RANK);
--- a/src/decisions/workflows/placement_pass.ts
+++ b/src/decisions/workflows/placement_pass.ts
@@ -10,6 +10,11 @@
 export interface PlacementCandidate {
   readonly record: WorkflowRecord;
   readonly urgency: Urgency;
+  /**
+   * Time in ms by which its start may be delayed before it loses its rank;
+   * negative if it has no value any more.
+   */
+  readonly slackMs: number;
   /** Groups with waiting tasks whose dependencies are done. */
   readonly groups: readonly (readonly TaskRecord[])[];
 }
@@ -27,4 +32,9 @@
   readonly organisations: ReadonlyMap<string, Organisation>;
   /** What may be running of each organisation. */
   readonly usage: OrganisationUsage;
+  /**
+   * Returns the tasks that are placed on a host; absent if the pass does not
+   * look ahead.
+   */
+  readonly listTasks?: (room: HostRoom) => Iterable<TaskRecord>;
 }
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -47,6 +47,8 @@
    * larger share are preferred as leaders.
    */
   readonly processorShare: number;
+  /** Whether room is kept for large work that does not fit yet. */
+  readonly looksAhead: boolean;
   readonly times: CoordinatorTimes;
   readonly log: Log;
 }
@@ -135,6 +137,7 @@
   machineTimes,
   leaderLeaseMs,
   processorShare,
+  looksAhead,
   times,
   log,
 }: WorkflowEntryHostOptions): WorkflowEntryHost {
@@ -186,6 +189,7 @@
         times,
         registry,
         getOrganisations: () => latest?.organisations,
+        looksAhead,
         unixNow,
         log,
         onFenced: cause => leadership.resign(cause),
