--- /dev/null
+++ b/src/actors/workflows/cancel_outcome.ts
@@ -0,0 +1,7 @@
+/** Outcome of a cancellation request. */
+export enum CancelOutcome {
+  Cancelled = 'cancelled',
+  NotFound = 'not-found',
+  Unavailable = 'unavailable',
+  Unknown = 'unknown',
+}
--- a/src/actors/workflows/index.ts
+++ b/src/actors/workflows/index.ts
@@ -2,6 +2,7 @@
  * Workflow processing: the intake at each entry host, and the elected leader
  * that schedules and runs workflows.
  */
+export * from './cancel_outcome';
 export * from './coordinator';
 export * from './find_queue';
 export * from './intake';
@@ -10,3 +11,6 @@
 export * from './leadership';
 export * from './machine_manager';
 export * from './order_sightings';
+export * from './submit_answer';
+export * from './submit_outcome';
+export * from './workflow_draft';
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -1,6 +1,5 @@
 import {Result} from 'true-myth';
 import {
-  AdmissionRefusal,
   LoadReport,
   checkAdmission,
   isFinal,
@@ -9,60 +8,15 @@
 import {Store, StoreEntry, StoreFailure} from '../../ports';
 import {startStopwatch} from '../../state';
 import {Log} from '../../telemetry';
-import {
-  Caller,
-  Queue,
-  Step,
-  Workflow,
-  WorkflowState,
-} from '../../types/workflow';
+import {Caller, Queue, Workflow, WorkflowState} from '../../types/workflow';
+import {CancelOutcome} from './cancel_outcome';
 import {getCancelKey, getWorkKey} from './keys';
 import {createRecentEntries} from './recent_entries';
 import {createStateReader} from './state_reader';
+import {SubmitAnswer} from './submit_answer';
+import {SubmitOutcome} from './submit_outcome';
 import {createWorkflowCreator} from './workflow_creator';
-
-/** Outcome of a submission. */
-export enum SubmitOutcome {
-  /** The workflow is stored. */
-  Accepted = 'accepted',
-  /** Not stored and never run: the workflow could not be completed in time. */
-  Refused = 'refused',
-  /** Not stored and never run: the store is unavailable. */
-  Unavailable = 'unavailable',
-  /** Not stored and never run: the id belongs to a workflow of others. */
-  Taken = 'taken',
-  /** The workflow may be stored; it is safe to submit the same id again. */
-  Unknown = 'unknown',
-}
-
-/** Outcome of a cancellation request. */
-export enum CancelOutcome {
-  Cancelled = 'cancelled',
-  NotFound = 'not-found',
-  Unavailable = 'unavailable',
-  Unknown = 'unknown',
-}
-
-/** A workflow as a caller submits it. */
-export interface WorkflowDraft {
-  readonly spec: string;
-  readonly steps: readonly Step[];
-  readonly occurrences: number;
-  readonly firstAt: number;
-  readonly intervalMs: number;
-}
-
-/** Answer to a submission. */
-export interface SubmitAnswer {
-  readonly outcome: SubmitOutcome;
-  /**
-   * Time in ms after which to submit again; set if the outcome is `Refused` or
-   * `Unavailable`.
-   */
-  readonly retryAfterMs?: number;
-  /** What decided a refusal; set if the outcome is `Refused`. */
-  readonly refusal?: AdmissionRefusal;
-}
+import {WorkflowDraft} from './workflow_draft';
 
 /** Handles the workflow requests of callers at one entry host. */
 export interface Intake {
