Let a leader that was deposed while it read the stored work stop there

Cause: the reading returned its result although it had been aborted, so the coordinator of an ended term opened sessions with all hosts and renewed timers for good: an entry host kept calling the store and the hosts with an old fencing token, and a refusal of it could end a later term of the same entry host. Found because features/platform/keys.feature did not end without workers (six coordinators of 17 scenarios were alive). Change: what was read after the end of the term is dropped.

--- a/features/workflows/entry_hosts.feature
+++ b/features/workflows/entry_hosts.feature
@@ -36,3 +36,12 @@
     And a workflow of 4 tasks of 500 ms is submitted
     Then all are "completed" within 6 s
     And the run history has no violations
+
+  @promise-long-work @failure-crash
+  Scenario: A leader that is stopped while it reads the stored work does not go on as leader
+    Given 3 entry hosts and 4 hosts for workflows
+    When a workflow of 4 tasks of 500 ms is submitted
+    And the leader is killed and the next one is stopped while it reads the stored work
+    And 2 s pass
+    Then the stopped entry host makes no calls to the store for 3 s
+    And all are "completed" within 6 s
--- a/features/workflows/entry_hosts.steps.ts
+++ b/features/workflows/entry_hosts.steps.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
-import {advance, settle} from '../support/paused_clock';
+import {advance, advanceUntil, settle} from '../support/paused_clock';
 import {getSubmitted, getWorld} from './running.steps';
-import {ANYBODY, QUEUE} from './workflow_world';
+import {ANYBODY, QUEUE, TestMember} from './workflow_world';
 
 async function readStates(): Promise<readonly (string | undefined)[]> {
   const [{id}] = getSubmitted();
@@ -71,3 +71,35 @@
 Then('the outcome is {string}', (expected: string) =>
   assert.equal(outcome, expected),
 );
+
+let stopped: TestMember;
+
+When(
+  'the leader is killed and the next one is stopped while it reads the stored work',
+  async () => {
+    const world = getWorld();
+    const first = world.getLeader();
+    assert.ok(first);
+    world.kill(first);
+    const others = world.members.filter(member => member !== first);
+    for (const {faults} of others) faults.slowMs = 100;
+    const findNext = () => others.find(member => member === world.getLeader());
+    await advanceUntil(() => findNext() !== undefined, 10_000);
+    await advance(10);
+    const next = findNext();
+    assert.ok(next);
+    stopped = next;
+    stopped.alive = false;
+    void stopped.entry.dispose();
+    for (const {faults} of others) faults.slowMs = 0;
+  },
+);
+
+Then(
+  'the stopped entry host makes no calls to the store for {int} s',
+  async (seconds: number) => {
+    const before = stopped.countStoreCalls();
+    await advance(seconds * 1_000);
+    assert.equal(stopped.countStoreCalls() - before, 0);
+  },
+);
--- a/src/actors/workflows/stored_workflows.ts
+++ b/src/actors/workflows/stored_workflows.ts
@@ -35,6 +35,8 @@
       store.list(PROGRESS_PREFIX),
       store.get(LEDGER_KEY),
     ]);
+    // A leader that was deposed meanwhile must not act on what it has read.
+    if (signal.aborted) return undefined;
     if (states.isErr || progress.isErr || last.isErr) {
       await delay(RETRY_MS, signal);
       continue;
