Keep the level of each organisation while a pass is ordered

Cause: each of n candidates compared the shares of all organisations anew and the path of unfinished work was estimated twice: at 600 waiting workflows of 20 organisations the order took 1.48 ms of a pass, sorting alone 0.16 ms. Change: levels are kept and updated for the organisation that takes room; the remaining path is estimated again only if a step is done.

--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -103,14 +103,18 @@
         runTimes.estimate(workflow.queue, step) * countWaves(step, waveLimits);
       const criticalPathMs = getCriticalPathMs(workflow.steps, expect);
       const occurrence = getFirstUnfinishedOccurrence(record);
-      const remainingSteps = workflow.steps.map((step, index) =>
+      const isDone = (index: number) =>
         record.groups
           .get(`${occurrence}.${index}`)
-          ?.every(task => task.phase === TaskPhase.Done)
-          ? {...step, estimateMs: 0}
-          : step,
-      );
-      const remainingMs = getCriticalPathMs(remainingSteps, expect);
+          ?.every(task => task.phase === TaskPhase.Done) ?? false;
+      const remainingMs = workflow.steps.some((_, index) => isDone(index))
+        ? getCriticalPathMs(
+            workflow.steps.map((step, index) =>
+              isDone(index) ? {...step, estimateMs: 0} : step,
+            ),
+            expect,
+          )
+        : criticalPathMs;
       const urgency = getUrgency(
         workflow,
         getDueAt(workflow, occurrence) || record.acceptedAt,
--- a/src/decisions/workflows/candidate_order.ts
+++ b/src/decisions/workflows/candidate_order.ts
@@ -11,8 +11,16 @@
   next(): PlacementCandidate | undefined;
 }
 
-/** Candidates of one class, the most urgent of each organisation first. */
-type Queues = Map<string, PlacementCandidate[]>;
+/** Candidates of one organisation in one class. */
+interface Line {
+  readonly name: string;
+  /** The most urgent first. */
+  readonly candidates: PlacementCandidate[];
+  /** Index of the first candidate that was not taken. */
+  next: number;
+  /** Level of the organisation; 1 below its share, where only urgency counts. */
+  level: number;
+}
 
 /**
  * Creates the order of a pass.
@@ -36,6 +44,7 @@
   const fixed = createFixedOrder(first);
   const shares = createShares(pass, shared);
   const classes = groupByClass(shared);
+  updateLevels(classes[0], shares);
 
   return {
     next() {
@@ -45,6 +54,7 @@
         const chosen = takeNext(classes[0], shares);
         if (chosen) return chosen;
         classes.shift();
+        updateLevels(classes[0], shares);
       }
       return undefined;
     },
@@ -78,19 +88,18 @@
   return (isWorthless ? 4 : urgency.rank) + (record.isExtra ? 2 : 0);
 }
 
-function groupByClass(sorted: readonly PlacementCandidate[]): Queues[] {
-  const classes: Queues[] = [];
+function groupByClass(sorted: readonly PlacementCandidate[]): Line[][] {
+  const classes: Map<string, Line>[] = [];
   for (const candidate of sorted) {
-    const queues = (classes[getClass(candidate)] ??= new Map());
-    const queue = queues.get(getOrganisation(candidate));
-    if (queue) queue.push(candidate);
-    else queues.set(getOrganisation(candidate), [candidate]);
-  }
-  for (const queues of classes) {
-    // The next candidate of each organisation is at the end.
-    if (queues) for (const queue of queues.values()) queue.reverse();
+    const lines = (classes[getClass(candidate)] ??= new Map<string, Line>());
+    const name = getOrganisation(candidate);
+    const line = lines.get(name);
+    if (line) line.candidates.push(candidate);
+    else lines.set(name, {name, candidates: [candidate], next: 0, level: 1});
   }
-  return classes.filter(queues => queues !== undefined);
+  return classes
+    .filter(lines => lines !== undefined)
+    .map(lines => [...lines.values()]);
 }
 
 function createShares(
@@ -110,36 +119,43 @@
   return createWeightedShares(holders, capacity);
 }
 
-/** Removes and returns the next candidate of a class. */
+/** Returns the next candidate of a class; undefined after the last. */
 function takeNext(
-  queues: Queues,
+  lines: readonly Line[],
   shares: WeightedShares,
 ): PlacementCandidate | undefined {
-  let best: PlacementCandidate | undefined;
-  let bestLevel = Infinity;
-  for (const [name, queue] of queues) {
-    const head = queue[queue.length - 1];
-    // Below its share, only urgency counts.
-    const level = Math.max(1, shares.getLevel(name));
-    if (best && level > bestLevel) continue;
-    if (
-      best &&
-      level === bestLevel &&
-      compareUrgency(best.urgency, head.urgency) <= 0
-    ) {
-      continue;
-    }
-    best = head;
-    bestLevel = level;
+  let best: Line | undefined;
+  for (const line of lines) {
+    if (line.next >= line.candidates.length) continue;
+    if (best && line.level > best.level) continue;
+    if (best && line.level === best.level && !isBefore(line, best)) continue;
+    best = line;
   }
   if (!best) return undefined;
-  const name = getOrganisation(best);
-  const queue = queues.get(name);
-  queue?.pop();
-  if (queue?.length === 0) queues.delete(name);
-  for (const group of best.groups) {
-    const waiting = group.filter(({phase}) => phase === TaskPhase.Waiting);
-    shares.take(name, getRequiredCapacity(group[0].step), waiting.length);
+  const candidate = best.candidates[best.next];
+  best.next += 1;
+  for (const group of candidate.groups) {
+    let waiting = 0;
+    for (const {phase} of group) if (phase === TaskPhase.Waiting) waiting += 1;
+    shares.take(best.name, getRequiredCapacity(group[0].step), waiting);
   }
-  return best;
+  updateLevel(best, shares);
+  return candidate;
+}
+
+/** Sets the levels of a class that begins; undefined after the last class. */
+function updateLevels(
+  lines: readonly Line[] | undefined,
+  shares: WeightedShares,
+): void {
+  for (const line of lines ?? []) updateLevel(line, shares);
+}
+
+function updateLevel(line: Line, shares: WeightedShares): void {
+  line.level = Math.max(1, shares.getLevel(line.name));
+}
+
+function isBefore(line: Line, other: Line): boolean {
+  const {urgency} = line.candidates[line.next];
+  return compareUrgency(urgency, other.candidates[other.next].urgency) < 0;
 }
--- a/src/decisions/workflows/weighted_shares.ts
+++ b/src/decisions/workflows/weighted_shares.ts
@@ -42,23 +42,30 @@
 ): WeightedShares {
   const used = new Map<string, Capacity>();
   const entitled = new Map<string, number>();
+  /** Levels by organisation, as they are read far more often than changed. */
+  const levels = new Map<string, number>();
   const sum = holders.reduce((total, {weight}) => total + clamp(weight), 0);
   for (const holder of holders) {
     used.set(holder.name, holder.used);
     entitled.set(holder.name, clamp(holder.weight) / sum);
+    updateLevel(holder.name);
+  }
+
+  function updateLevel(organisation: string): void {
+    const share = getDominantShare(
+      used.get(organisation) ?? NO_CAPACITY,
+      capacity,
+    );
+    const due = entitled.get(organisation) ?? MIN_WEIGHT;
+    levels.set(organisation, share / due);
   }
 
   return {
-    getLevel(organisation) {
-      const share = getDominantShare(
-        used.get(organisation) ?? NO_CAPACITY,
-        capacity,
-      );
-      return share / (entitled.get(organisation) ?? MIN_WEIGHT);
-    },
+    getLevel: organisation => levels.get(organisation) ?? 0,
     take(organisation, size, count) {
       const before = used.get(organisation) ?? NO_CAPACITY;
       used.set(organisation, addTasks(before, size, count));
+      updateLevel(organisation);
     },
   };
 }
