End a placement pass once the room that became free is used

A pass over 600 waiting workflows tried all of them for each end of a run. Change: a pass ends when no host has room for the smallest waiting task, unless work that finds no host still has to ask for tickets or may keep hosts. The new scenario tries 600 workflows without the change, 2 with it.

--- a/features/workflows/backlog.feature
+++ b/features/workflows/backlog.feature
@@ -23,3 +23,12 @@
     And one waiting step with a task that needs 2000 thousandths
     When the leader looks for room for all of them
     Then 1 task is placed
+
+  Scenario: A pass over a full pool ends once the room that became free is used
+    Given a pool of 100 full hosts and 600 workflows that wait
+    When room for 2 tasks becomes free and a pass runs
+    Then 2 tasks are placed
+    And at most 2 workflows were tried
+    When room becomes free that is too small for any task and a pass runs
+    Then 0 tasks are placed
+    And at most 0 workflows were tried
--- a/features/workflows/backlog.steps.ts
+++ b/features/workflows/backlog.steps.ts
@@ -2,24 +2,33 @@
 import {Before, Given, Then, When} from '@cucumber/cucumber';
 import {
   HostRoom,
+  PlacementCandidate,
   TaskRecord,
+  createOrganisationUsage,
+  createRunTimes,
+  createStartLimit,
   createUnplaceableSizes,
   createWorkflowRecord,
   getGroup,
   placeTasks,
+  runPlacementPass,
 } from '../../src/decisions/workflows';
 import {Step, Workflow} from '../../src/types/workflow';
 import {QUEUE, createStep} from './workflow_world';
 
 let rooms: HostRoom[] = [];
 let groups: TaskRecord[][] = [];
+let candidates: PlacementCandidate[] = [];
 let placedCount = 0;
+/** Number of workflows for which hosts were looked for. */
+let triedCount = 0;
 /** Number of times that the free processors of any host were read. */
 let reads = 0;
 
 Before(() => {
   rooms = [];
   groups = [];
+  candidates = [];
   reads = 0;
 });
 
@@ -76,6 +85,41 @@
   };
   const record = createWorkflowRecord(workflow, undefined, {}, 0);
   groups.push(getGroup(record, 0, 0));
+  candidates.push({
+    record,
+    urgency: {priority: 0, rank: 1, at: groups.length},
+    groups: [getGroup(record, 0, 0)],
+    slackMs: 0,
+  });
+}
+
+function runPass(): void {
+  const organisations = new Map();
+  const usage = createOrganisationUsage();
+  placedCount = 0;
+  triedCount = 0;
+  runPlacementPass(
+    {
+      pool: QUEUE.pool,
+      now: 0,
+      rooms,
+      candidates,
+      runTimes: createRunTimes(),
+      organisations,
+      usage,
+    },
+    createStartLimit({organisations, usage}),
+    {
+      getFilter() {
+        triedCount += 1;
+        return () => true;
+      },
+      onUnplaced: () => {},
+      start(_, placed) {
+        placedCount += placed.length;
+      },
+    },
+  );
 }
 
 Given(
@@ -129,3 +173,30 @@
 Then('each host was considered at most {int} times', (limit: number) =>
   assert.ok(reads <= limit * rooms.length, `${reads / rooms.length} times`),
 );
+
+Given(
+  'a pool of {int} full hosts and {int} workflows that wait',
+  (hostCount: number, workflowCount: number) => {
+    rooms = Array.from({length: hostCount}, (_, index) => createRoom(index, 0));
+    for (let index = 0; index < workflowCount; index += 1) {
+      addStep({cpuMillis: 1_000 + (index % 3)});
+    }
+  },
+);
+
+When(
+  'room for {int} tasks becomes free and a pass runs',
+  (taskCount: number) => {
+    rooms[7].free.cpuMillis += taskCount * 1_000 + 5;
+    runPass();
+  },
+);
+
+When('room becomes free that is too small for any task and a pass runs', () => {
+  rooms[9].free.cpuMillis += 900;
+  runPass();
+});
+
+Then('at most {int} workflows were tried', (limit: number) =>
+  assert.ok(triedCount <= limit, String(triedCount)),
+);
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -27,6 +27,7 @@
 export * from './reservations';
 export * from './run_progress';
 export * from './run_time_sample';
+export * from './room_exhaustion';
 export * from './run_placement_pass';
 export * from './run_times';
 export * from './start_limit';
--- a/src/decisions/workflows/run_placement_pass.ts
+++ b/src/decisions/workflows/run_placement_pass.ts
@@ -4,6 +4,7 @@
 import {PlacedTask, placeTasks} from './place_tasks';
 import {PlacementPass} from './placement_pass';
 import {Reservations, createReservations} from './reservations';
+import {createRoomExhaustion} from './room_exhaustion';
 import {StartLimit} from './start_limit';
 import {TaskPhase, TaskRecord} from './task_record';
 import {createUnplaceableSizes} from './unplaceable_sizes';
@@ -38,10 +39,15 @@
   limit: StartLimit,
   {getFilter, onUnplaced, start}: PlacementEffects,
 ): Reservations {
-  const {rooms} = pass;
+  const {rooms, candidates} = pass;
   const order = createCandidateOrder(pass);
   const reservations = createReservations(pass);
   const unplaceable = createUnplaceableSizes();
+  const exhaustion = createRoomExhaustion(rooms, candidates);
+  // Work that finds no host still asks for tickets, or may keep hosts.
+  const asksAll =
+    pass.listTasks !== undefined ||
+    candidates.some(({record}) => record.workflow.advice !== undefined);
 
   function placeGroup(
     {workflow}: WorkflowRecord,
@@ -75,6 +81,7 @@
   }
 
   for (let next = order.next(); next; next = order.next()) {
+    if (!asksAll && exhaustion.isReached()) break;
     const {record, groups, slackMs} = next;
     const placed = groups.flatMap(group => placeGroup(record, group, slackMs));
     if (placed.length > 0) start(record, placed);
