--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -119,7 +119,7 @@
  * Share of the mean number of machines per pool that each pool keeps even when
  * it is idle.
  */
-const MIN_POOL_SHARE = 0.3;
+const MIN_POOL_SHARE = 0.5;
 /**
  * Idle time in ms after which keeping a machine costs more than two moves, at
  * the prices specified by the users.
