--- a/review/stand_ins/worker.mjs
+++ b/review/stand_ins/worker.mjs
@@ -40,6 +40,7 @@
   gangs,
   upMs = 0,
   cpu = 16_000,
+  kind = 'a',
 }) {
   const capacity = {cpu, memMb: 32_768, gpu: 0};
   let life;
@@ -61,7 +62,7 @@
       ...(isDraining ? {remainingMs: DRAIN_MS} : {}),
       coldLeftMs: 0,
       capacity,
-      labels: ['a', 'r1-1'],
+      labels: [kind, 'r1-1'],
       machine,
       born: life.born,
       clockMs: life.getClockMs(),
