--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # compiled, their syntax is checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in stand_ins/*.mjs [1-5]/*.mjs; do
+for file in stand_ins/*.mjs trials/*.mjs [1-5]/*.mjs; do
   [ -e "$file" ] && node --check "$file"
 done
