--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -13,7 +13,7 @@
 
 await runCase(
   import.meta.dirname,
-  {entries: 2, workers: [{}, {}]},
+  {entries: 2, workers: Array.from({length: 8}, () => ({}))},
   async deployment => {
     const {record, workers, store, events} = deployment;
     const worker = workers[0];
@@ -44,13 +44,13 @@
       await waitForEnd(await fill(200));
     // A short and a long task on each worker.
     const short = await submit(deployment, 0, {
-      count: 2,
+      count: workers.length,
       workMs: 2_000,
       cpu: 8_000,
       maxPerServer: 1,
     });
     const long = await submit(deployment, 0, {
-      count: 2,
+      count: workers.length,
       workMs: 9_000,
       cpu: 8_000,
       maxPerServer: 1,
