Let stand-in hosts start again under their ids

A stand-in host got a new id with each start, so no test could play what the platform allows: a worker that starts again under the id that it had, at the same address or another one, with a clock and numbers of ends that start anew. Calls, late orders and the checks of the run history tell its incarnations apart now.

--- a/src/history/workflows/check_runs.ts
+++ b/src/history/workflows/check_runs.ts
@@ -172,7 +172,15 @@
     );
   }
 
+  /** A host that starts again under its id lists no earlier ends. */
+  function forgetHost({hostId}: FleetEvent): void {
+    ends.delete(hostId);
+    endCounts.delete(hostId);
+    leavingAt.delete(hostId);
+  }
+
   for (const event of events) {
+    if (event.kind === FleetEventKind.Boot) forgetHost(event);
     if (event.kind === FleetEventKind.Start) checkStart(event);
     if (event.kind === FleetEventKind.End) recordEnd(event);
     if (event.kind === FleetEventKind.Leaving) {
--- a/src/stand_ins/external_platform/external_platform.ts
+++ b/src/stand_ins/external_platform/external_platform.ts
@@ -92,7 +92,7 @@
   }
   for (const [index, {pool, off}] of plannedMachines.entries()) {
     const machine = `machine-${index + 1}`;
-    const api = createHostApi(hosts, () => fleet.getHost(machine)?.host.id);
+    const api = createHostApi(hosts, () => fleet.getHost(machine)?.host);
     const server = await createJsonServer(api);
     servers.push(server);
     addresses.set(machine, await exposeHost(machine, server.address));
--- a/src/stand_ins/external_platform/host_api.ts
+++ b/src/stand_ins/external_platform/host_api.ts
@@ -1,6 +1,7 @@
 import {Result} from 'true-myth';
 import {
   HoldReport,
+  HostAddress,
   HostAnswer,
   HostCallFailure,
   HostRefusal,
@@ -21,18 +22,17 @@
  * Creates the handler of one host's HTTP API, backed by the stand-in fleet.
  *
  * @param hosts calls to the hosts of the fleet
- * @param getHostId returns the id of the host currently at the address
+ * @param getHost returns the host that is currently at the address
  */
 export function createHostApi(
   hosts: TaskHosts,
-  getHostId: () => string | undefined,
+  getHost: () => HostAddress | undefined,
 ) {
   return async ({path, headers, body}: JsonCall): Promise<JsonAnswer> => {
-    const id = getHostId();
-    if (id === undefined || headers['x-expect-instance'] !== id) {
+    const host = getHost();
+    if (!host || headers['x-expect-instance'] !== host.id) {
       return {status: 421};
     }
-    const host = {id, address: ''};
     const order = {
       task: String(body.task),
       run: Number(body.run),
--- a/src/stand_ins/fleet/fleet_event.ts
+++ b/src/stand_ins/fleet/fleet_event.ts
@@ -2,6 +2,8 @@
 
 /** Kinds of events that the stand-in fleet records. */
 export enum FleetEventKind {
+  /** A host has started; under an id that was in use, it knows nothing of it. */
+  Boot = 'boot',
   Start = 'start',
   End = 'end',
   /** A run was lost with its host, so no end is reported. */
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -38,7 +38,7 @@
   /** All recorded events in the order in which they happened. */
   readonly events: readonly FleetEvent[];
   readonly faults: FleetCallFaults;
-  /** All host incarnations by id, including those that have ended. */
+  /** Latest host incarnation by id, including those that have ended. */
   readonly hosts: ReadonlyMap<string, TaskHostModel>;
   readonly machines: ReadonlyMap<string, Machine>;
   /** Counts the start orders sent to host incarnations that had ended. */
@@ -57,8 +57,15 @@
    * otherwise they fail as replaced.
    */
   crash(machine: string, silent: boolean): void;
-  /** Starts a new host incarnation on a machine. */
+  /** Starts a host with a new id on a machine. */
   boot(machine: string): void;
+  /**
+   * Starts the host that has crashed on a machine again, under its id. What it
+   * knew is gone, and its clock and the numbers of its ends start anew.
+   *
+   * @param moved whether it has another address
+   */
+  restart(machine: string, moved?: boolean): void;
   /** Returns the host that currently runs on a machine. */
   getHost(machine: string): TaskHostModel | undefined;
   /**
@@ -131,7 +138,9 @@
   const machines = new Map<string, Machine>();
   const labelsByMachine = new Map<string, readonly string[]>();
   const gangs = createGangs();
-  const endedHosts = new Set<string>();
+  const endedHosts = new Set<TaskHostModel>();
+  /** Id of the host that was last on a machine. */
+  const lastHostIds = new Map<string, string>();
   const faults: FleetCallFaults = {
     silent: new Set(),
     lostAnswers: 0,
@@ -154,15 +163,19 @@
     keyValue.swap({key, expectedVersion, value});
   }
 
-  function boot(id: string): void {
+  function boot(
+    id: string,
+    hostId = `host-${hostCount + 1}`,
+    address = `address-${id}`,
+  ): void {
     const machine = machines.get(id);
     if (!machine) return;
     hostCount += 1;
     const host: TaskHost = {
-      id: `host-${hostCount}`,
+      id: hostId,
       bornAt: Date.now() + hostCount,
       pool: machine.pool,
-      address: `address-${id}`,
+      address,
       availabilityZone: 'zone-a',
       machine: id,
       labels: labelsByMachine.get(id) ?? [],
@@ -172,14 +185,14 @@
       coldMs: 0,
     };
     const crash = () => {
-      if (machines.get(id)?.hostId !== host.id) return;
+      if (hosts.get(host.id) !== model || endedHosts.has(model)) return;
       endHost(id);
       setTimeout(() => boot(id), RESTART_MS);
     };
-    hosts.set(
-      host.id,
-      createTaskHostModel(host, maxLeaseMs, record, gangs, crash),
-    );
+    const model = createTaskHostModel(host, maxLeaseMs, record, gangs, crash);
+    hosts.set(host.id, model);
+    lastHostIds.set(id, host.id);
+    record({kind: FleetEventKind.Boot, hostId: host.id, task: '', run: 0});
     setMachine(id, {state: MachineState.Up, hostId: host.id});
     putEntry(`${registry.prefix}${host.id}`, registry.write(host));
   }
@@ -189,14 +202,16 @@
     const host = machine && hosts.get(machine.hostId);
     if (!host) return;
     host.kill();
-    endedHosts.add(host.host.id);
+    endedHosts.add(host);
     const key = `${registry.prefix}${host.host.id}`;
-    setTimeout(() => putEntry(key, undefined), REGISTRY_ENTRY_TTL_MS);
+    setTimeout(() => {
+      if (hosts.get(host.host.id) === host) putEntry(key, undefined);
+    }, REGISTRY_ENTRY_TTL_MS);
     setMachine(id, {state: MachineState.Down, hostId: ''});
   }
 
   async function call<T>(
-    {id}: HostAddress,
+    {id, address}: HostAddress,
     isPartitioned: () => boolean,
     isOrder: boolean,
     effect: (host: TaskHostModel) => T | Promise<T>,
@@ -204,17 +219,23 @@
     await delay(CALL_LATENCY_MS);
     const host = hosts.get(id);
     if (isPartitioned() || faults.silent.has(id) || !host) return timeOut();
-    if (endedHosts.has(id)) return Result.err(HostCallFailure.Replaced);
+    if (endedHosts.has(host)) return Result.err(HostCallFailure.Replaced);
+    if (address !== host.host.address) {
+      return Result.err(HostCallFailure.Unreachable);
+    }
     if (isOrder && random() < faults.delayedOrders.share) {
       setTimeout(() => {
-        if (!endedHosts.has(id)) void effect(host);
+        const late = hosts.get(id);
+        if (late && !endedHosts.has(late)) void effect(late);
       }, faults.delayedOrders.afterMs);
       return timeOut();
     }
     const result = await effect(host);
     const lost = isOrder && random() < faults.lostAnswers;
     if (lost || isPartitioned() || faults.silent.has(id)) return timeOut();
-    if (endedHosts.has(id)) return Result.err(HostCallFailure.Replaced);
+    // A restart under the same id resets the connection.
+    if (hosts.get(id) !== host) return Result.err(HostCallFailure.NoAnswer);
+    if (endedHosts.has(host)) return Result.err(HostCallFailure.Replaced);
     await delay(CALL_LATENCY_MS);
     return Result.ok(result);
   }
@@ -293,11 +314,20 @@
       if (silent) faults.silent.add(hostId);
       endHost(machine);
     },
-    boot,
+    boot: machine => boot(machine),
+    restart(machine, moved = false) {
+      const hostId = lastHostIds.get(machine);
+      const ended = hostId === undefined ? undefined : hosts.get(hostId);
+      if (!hostId || !ended || !endedHosts.has(ended)) return;
+      const {address} = ended.host;
+      faults.silent.delete(hostId);
+      boot(machine, hostId, moved ? `${address}'` : address);
+    },
     getHost: machine => hosts.get(machines.get(machine)?.hostId ?? ''),
     createTaskHosts: isPartitioned => ({
       start(host, order) {
-        if (endedHosts.has(host.id)) startsOnEndedHosts += 1;
+        const model = hosts.get(host.id);
+        if (model && endedHosts.has(model)) startsOnEndedHosts += 1;
         return call(host, isPartitioned, true, model => model.start(order));
       },
       stop: (host, order) =>
