Keep the confirmations of a host's ends with its incarnation

A task on it then ran to its end again and again, and its submission was never completed.

Cause: the tracker of acknowledged ends was cleared when a report told of the restart, but the ends of the earlier life whose writes were still under way confirmed themselves in it afterwards, under their old numbers. The new life's ends up to that number counted as duplicates: acknowledged, but never handled.

Change: what is known of one life is one object, the incarnation, which is replaced as a whole. A confirmation holds the tracker that accepted its end, so a late one has nothing else to write to. The line `host restarted` tells how many ends of the earlier life were not stored yet.

--- /dev/null
+++ b/features/workflows/host_restarts.feature
@@ -0,0 +1,22 @@
+Feature: Hosts that start again under their ids
+  A host that starts again knows nothing of before: its clock, the numbers of its
+  ends and what runs on it start anew. What was learned of it before must not be
+  applied to it.
+
+  # Guards against ends of a restarted host that count as confirmed because the
+  # store confirms ends with the same numbers from before the restart.
+  @promise-long-work @failure-crash @failure-store-slow
+  Scenario: A host restarts while ends of its earlier runs are being stored
+    Given 3 entry hosts and 2 hosts for workflows
+    When 10 workflows of 6 tasks are submitted
+    Then all are "completed" within 12 s
+    When a workflow of 8 tasks of 1000 ms is submitted
+    And a workflow of 6 tasks of 4000 ms is submitted
+    And 900 ms pass
+    And every call to the store takes 800 ms
+    And 150 ms pass
+    And the host with the most runs crashes and is back under its id after 200 ms
+    And 1 s pass
+    And every call to the store takes 0 ms
+    Then all are "completed" within 12 s
+    And the run history has no violations
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -18,8 +18,8 @@
 import {Log} from '../../telemetry';
 import {TaskEnd, TaskHost} from '../../types/workflow';
 import {HostEnd} from './host_end';
-import {createRunEndTracker} from './run_end_tracker';
 import {createHostClock} from './host_clock';
+import {createHostIncarnation} from './host_incarnation';
 import {createRecentEntries} from './recent_entries';
 import {createRunOrders} from './run_orders';
 import {TermErrors} from './term_errors';
@@ -186,7 +186,6 @@
   let host = firstHost;
   const address: HostAddress = {id: host.id, address: host.address};
   const tasks = new Map<string, TaskRecord>();
-  const runEnds = createRunEndTracker();
   const clock = createHostClock(earlierLeaseMs);
   const strayStopsAllowedAt = createRecentEntries<number>(MAX_STRAY_RUNS);
   const abort = new AbortController();
@@ -199,11 +198,9 @@
   let suspectUntil = 0;
   /** Monotonic time in ms of the host's last answer. */
   let answeredAt = 0;
-  /** Number of the last end acknowledged to the host. */
-  let acknowledged = 0;
   /** Number of reports requested. */
   let reports = 0;
-  let bornAt = host.bornAt;
+  let incarnation = createHostIncarnation(host.bornAt);
   let isHolding = false;
   let lastHoldFailed = false;
   let wake: (() => void) | undefined;
@@ -267,7 +264,8 @@
 
   function needsHold(): boolean {
     if (gone) return false;
-    if (tasks.size > 0 || runEnds.getStoredUpTo() > acknowledged) return true;
+    const {runEnds} = incarnation;
+    if (tasks.size > 0 || runEnds.getUnacknowledged() > 0) return true;
     return !reached && registered;
   }
 
@@ -277,7 +275,7 @@
    */
   async function waitForStore(): Promise<void> {
     const until = performance.now() + MAX_STORE_WAIT_MS;
-    while (runEnds.hasUnstored() && performance.now() < until) {
+    while (hasUnstoredEnds() && performance.now() < until) {
       await new Promise<void>(resolve => {
         const timer = setTimeout(resolve, until - performance.now());
         wake = () => {
@@ -288,16 +286,21 @@
     }
   }
 
+  function hasUnstoredEnds(): boolean {
+    return incarnation.runEnds.countUnstored() > 0;
+  }
+
   async function holdOnce(): Promise<boolean> {
     reports += 1;
     const number = reports;
-    const seenEnd = runEnds.getStoredUpTo();
+    const {runEnds} = incarnation;
+    const seenEnd = runEnds.getUnacknowledged();
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
     const untilMs = lastHoldFailed ? undefined : nextLease();
     const waits = tasks.size > 0 && reached && untilMs !== undefined;
-    const waitMs = waits && !runEnds.hasUnstored() ? getHoldWaitMs() : 0;
+    const waitMs = waits && !hasUnstoredEnds() ? getHoldWaitMs() : 0;
     const sentAt = performance.now();
     const answer = await hosts.hold(address, {
       fence,
@@ -319,7 +322,7 @@
     }
     if (report.refusal !== undefined) return false;
     handleReport(report, number);
-    acknowledged = Math.max(acknowledged, seenEnd);
+    runEnds.markAcknowledged(seenEnd);
     return true;
   }
 
@@ -337,11 +340,9 @@
   }
 
   function handleReport(report: HoldReport, number: number): void {
-    if (report.bornAt !== 0 && bornAt !== 0 && report.bornAt !== bornAt) {
-      handleRestart(report.bornAt);
-    } else if (report.bornAt !== 0) {
-      bornAt = report.bornAt;
-    }
+    const {bornAt} = report;
+    if (bornAt !== 0 && isOtherIncarnation(bornAt)) handleRestart(bornAt);
+    else if (bornAt !== 0) incarnation.bornAt = bornAt;
     if (!reached) {
       reached = true;
       clock.recordFenceAccepted(leaseMs);
@@ -383,6 +384,7 @@
   }
 
   function handleEnd(end: TaskEnd, present: Set<string>): void {
+    const {runEnds} = incarnation;
     if (!runEnds.accept(end.number)) return;
     const acknowledge = () => {
       runEnds.markStored(end.number);
@@ -424,17 +426,24 @@
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
+  function isOtherIncarnation(bornAt: number): boolean {
+    return incarnation.bornAt !== 0 && incarnation.bornAt !== bornAt;
+  }
+
   /**
-   * Resets the tracking of ends after a restart. Runs that the host no longer
-   * lists are dropped by `dropAbsent`; recently ordered runs may already belong
-   * to the new incarnation.
+   * Starts anew with another incarnation of the host. Runs that the host no
+   * longer lists are dropped by `dropAbsent`; recently ordered runs may already
+   * belong to the new incarnation.
    */
-  function handleRestart(newBornAt: number): void {
-    log.warn('host restarted', {host: host.id, bornAt: newBornAt});
-    reportCrash(task => task.placement?.bornAt !== newBornAt);
-    bornAt = newBornAt;
-    runEnds.reset();
-    acknowledged = 0;
+  function handleRestart(bornAt: number): void {
+    log.warn('host restarted', {
+      host: host.id,
+      bornAt,
+      earlierBornAt: incarnation.bornAt,
+      unstoredEnds: incarnation.runEnds.countUnstored(),
+    });
+    reportCrash(task => task.placement?.bornAt !== bornAt);
+    incarnation = createHostIncarnation(bornAt);
   }
 
   function recordAnswer({clockMs}: HostAnswer): void {
@@ -556,7 +565,7 @@
     update(next) {
       registered = next !== undefined;
       if (!next) return;
-      if (next.bornAt !== 0 && bornAt !== 0 && next.bornAt > bornAt) {
+      if (incarnation.bornAt !== 0 && next.bornAt > incarnation.bornAt) {
         // From now on reports come from the new incarnation, so it must be
         // reached again.
         reached = false;
@@ -578,7 +587,7 @@
     isCordoned: () => cordoned,
     isGone: () => gone,
     get bornAt() {
-      return bornAt;
+      return incarnation.bornAt;
     },
     adopt(task) {
       track(task);
--- a/src/actors/workflows/run_end_tracker.ts
+++ b/src/actors/workflows/run_end_tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Tracks which run ends reported by one host incarnation have been processed
- * and stored.
+ * Tracks which run ends reported by one host incarnation have been processed,
+ * stored and acknowledged.
  */
 export interface RunEndTracker {
   /** Accepts an end for processing; returns false for a duplicate. */
@@ -8,14 +8,14 @@
   /** Records that the changes caused by an end are stored. */
   markStored(number: number): void;
   /**
-   * Returns the highest end number that can be acknowledged to the host: all
-   * accepted ends up to it are stored.
+   * Returns the highest end number to acknowledge: all accepted ends up to it
+   * are stored. 0 if the host has confirmed all acknowledgements.
    */
-  getStoredUpTo(): number;
-  /** Returns whether any accepted end is not stored yet. */
-  hasUnstored(): boolean;
-  /** Clears all state after the host has restarted. */
-  reset(): void;
+  getUnacknowledged(): number;
+  /** Records that the host has received an acknowledgement. */
+  markAcknowledged(number: number): void;
+  /** Returns the number of accepted ends that are not stored yet. */
+  countUnstored(): number;
 }
 
 /**
@@ -23,9 +23,10 @@
  * order.
  */
 export function createRunEndTracker(): RunEndTracker {
-  let accepted = new Set<number>();
-  let stored = new Set<number>();
+  const accepted = new Set<number>();
+  const stored = new Set<number>();
   let storedUpTo = 0;
+  let acknowledged = 0;
 
   return {
     accept(number) {
@@ -50,12 +51,10 @@
         stored.delete(end);
       }
     },
-    getStoredUpTo: () => storedUpTo,
-    hasUnstored: () => accepted.size > 0,
-    reset() {
-      accepted = new Set();
-      stored = new Set();
-      storedUpTo = 0;
+    getUnacknowledged: () => (storedUpTo > acknowledged ? storedUpTo : 0),
+    markAcknowledged(number) {
+      acknowledged = Math.max(acknowledged, number);
     },
+    countUnstored: () => accepted.size,
   };
 }
