Check random histories of hosts that restart under their ids

The rule "an end that is taken note of is never followed by a start, and one that isn't is never lost" had no test over random lives.

The stand-in records expired leases for it, and answers nothing at the address of a host that is down, instead of "replaced".

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -20,3 +20,11 @@
     And every call to the store takes 0 ms
     Then all are "completed" within 12 s
     And the run history has no violations
+
+  # Guards against ends that are lost, or followed by another start, in an order
+  # of restarts, outages and takeovers that no other scenario has.
+  @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
+  Scenario: Random histories of hosts that restart under their ids
+    When 10 random histories of 20 restarts and other faults are played for each of the seeds 6, 18, 23
+    Then they have restarts, takeovers and outages
+    And no end was ignored and no accepted workflow is left unfinished
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -1,7 +1,11 @@
-import {When} from '@cucumber/cucumber';
-import {advance} from '../support/paused_clock';
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {advance, seedRandom} from '../support/paused_clock';
+import {IncarnationReport, playIncarnations} from './incarnation_histories';
 import {findBusiestMachine, getWorld} from './running.steps';
 
+let reports: IncarnationReport[] = [];
+
 async function restart(pauseMs: number, moved: boolean): Promise<void> {
   const machine = findBusiestMachine();
   const {fleet} = getWorld();
@@ -14,3 +18,33 @@
   'the host with the most runs crashes and is back under its id after {int} ms',
   (pauseMs: number) => restart(pauseMs, false),
 );
+
+When(
+  /^(\d+) random histories of (\d+) restarts and other faults are played for each of the seeds ([\d, ]+)$/,
+  {timeout: 60_000},
+  async (count: string, length: string, seeds: string) => {
+    reports = [];
+    for (const seed of seeds.split(', ').map(Number)) {
+      seedRandom(seed);
+      const report = await playIncarnations(
+        Number(count),
+        Number(length),
+        seed,
+      );
+      reports.push(report);
+    }
+  },
+);
+
+Then('they have restarts, takeovers and outages', () => {
+  for (const {restarts, takeovers, outages, starts} of reports) {
+    assert.ok(restarts > 50 && takeovers > 3 && outages > 3 && starts > 300);
+  }
+});
+
+Then('no end was ignored and no accepted workflow is left unfinished', () =>
+  assert.deepEqual(
+    reports.flatMap(({findings}) => findings),
+    [],
+  ),
+);
--- a/src/history/workflows/check_runs.ts
+++ b/src/history/workflows/check_runs.ts
@@ -40,6 +40,8 @@
   done: boolean;
   /** Whether the end of a completed run was acknowledged. */
   doneAcknowledged: boolean;
+  /** Ends of completed runs that were not acknowledged yet. */
+  readonly unacknowledgedDone: UnacknowledgedEnd[];
   /** Number of failed runs whose end was acknowledged. */
   failures: number;
 }
@@ -49,6 +51,10 @@
   readonly number: number;
   readonly history: TaskHistory;
   readonly kind: TaskEndKind;
+  /** First start of the task after this end. */
+  followedBy: FleetEvent | undefined;
+  /** Whether the lease of the host has expired since. */
+  lapsed: boolean;
 }
 
 /**
@@ -76,6 +82,7 @@
         activeRuns: new Map(),
         done: false,
         doneAcknowledged: false,
+        unacknowledgedDone: [],
         failures: 0,
       };
       tasks.set(task, history);
@@ -98,6 +105,9 @@
     if (history.doneAcknowledged && !step.lasting) {
       report(RunViolationKind.RanAgain, event);
     }
+    if (!step.lasting) {
+      for (const end of history.unacknowledgedDone) end.followedBy ??= event;
+    }
     if (!step.lasting && history.failures >= workflow.maxAttempts) {
       report(RunViolationKind.TooManyAttempts, event);
     }
@@ -155,15 +165,32 @@
     const number = (endCounts.get(event.hostId) ?? 0) + 1;
     endCounts.set(event.hostId, number);
     const pending = ends.get(event.hostId) ?? [];
-    pending.push({number, history, kind: event.how ?? TaskEndKind.Stopped});
+    const kind = event.how ?? TaskEndKind.Stopped;
+    const end = {number, history, kind, followedBy: undefined, lapsed: false};
+    pending.push(end);
+    if (kind === TaskEndKind.Done) history.unacknowledgedDone.push(end);
     ends.set(event.hostId, pending);
   }
 
+  /**
+   * An end that is acknowledged late must not have been followed by a start,
+   * unless the host's lease has expired in between.
+   */
+  function acknowledgeDone({history, followedBy, lapsed}: UnacknowledgedEnd) {
+    history.doneAcknowledged = true;
+    if (followedBy && !lapsed) report(RunViolationKind.RanAgain, followedBy);
+  }
+
+  function recordLapse({hostId}: FleetEvent): void {
+    for (const end of ends.get(hostId) ?? []) end.lapsed = true;
+  }
+
   function acknowledgeEnds({hostId, run: lastNumber}: FleetEvent): void {
     const pending = ends.get(hostId) ?? [];
-    for (const {number, history, kind} of pending) {
+    for (const end of pending) {
+      const {number, history, kind} = end;
       if (number > lastNumber) continue;
-      if (kind === TaskEndKind.Done) history.doneAcknowledged = true;
+      if (kind === TaskEndKind.Done) acknowledgeDone(end);
       if (kind === TaskEndKind.Failed) history.failures += 1;
     }
     ends.set(
@@ -189,6 +216,7 @@
     if (event.kind === FleetEventKind.OverCapacity) {
       report(RunViolationKind.OverCapacity, event);
     }
+    if (event.kind === FleetEventKind.Lapse) recordLapse(event);
     if (event.kind === FleetEventKind.Acknowledged) acknowledgeEnds(event);
     if (event.kind === FleetEventKind.Lost) {
       getHistory(event.task).activeRuns.delete(`${event.hostId}/${event.run}`);
--- a/src/stand_ins/fleet/fleet_event.ts
+++ b/src/stand_ins/fleet/fleet_event.ts
@@ -8,6 +8,8 @@
   End = 'end',
   /** A run was lost with its host, so no end is reported. */
   Lost = 'gone',
+  /** The lease on the runs of a host has expired. */
+  Lapse = 'lapse',
   /** All run ends up to a number were acknowledged. */
   Acknowledged = 'seen',
   /** A move or maintenance order for a machine was accepted. */
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -54,7 +54,8 @@
   announceDraining(machine: string): void;
   /**
    * Ends the host on a machine. Later calls to it time out if `silent` is set;
-   * otherwise they fail as replaced.
+   * otherwise they fail as unreachable, or as replaced once another host has
+   * started on its machine.
    */
   crash(machine: string, silent: boolean): void;
   /** Starts a host with a new id on a machine. */
@@ -210,6 +211,12 @@
     setMachine(id, {state: MachineState.Down, hostId: ''});
   }
 
+  /** Nothing listens at the address of a host that has crashed. */
+  function getFailure({host}: TaskHostModel): HostCallFailure {
+    const isDown = machines.get(host.machine)?.state === MachineState.Down;
+    return isDown ? HostCallFailure.Unreachable : HostCallFailure.Replaced;
+  }
+
   async function call<T>(
     {id, address}: HostAddress,
     isPartitioned: () => boolean,
@@ -219,7 +226,7 @@
     await delay(CALL_LATENCY_MS);
     const host = hosts.get(id);
     if (isPartitioned() || faults.silent.has(id) || !host) return timeOut();
-    if (endedHosts.has(host)) return Result.err(HostCallFailure.Replaced);
+    if (endedHosts.has(host)) return Result.err(getFailure(host));
     if (address !== host.host.address) {
       return Result.err(HostCallFailure.Unreachable);
     }
@@ -233,9 +240,9 @@
     const result = await effect(host);
     const lost = isOrder && random() < faults.lostAnswers;
     if (lost || isPartitioned() || faults.silent.has(id)) return timeOut();
-    // A restart under the same id resets the connection.
+    // A restart under the same id breaks the connection.
     if (hosts.get(id) !== host) return Result.err(HostCallFailure.NoAnswer);
-    if (endedHosts.has(host)) return Result.err(HostCallFailure.Replaced);
+    if (endedHosts.has(host)) return Result.err(getFailure(host));
     await delay(CALL_LATENCY_MS);
     return Result.ok(result);
   }
@@ -318,7 +325,8 @@
     restart(machine, moved = false) {
       const hostId = lastHostIds.get(machine);
       const ended = hostId === undefined ? undefined : hosts.get(hostId);
-      if (!hostId || !ended || !endedHosts.has(ended)) return;
+      if (!hostId || !ended) return;
+      if (machines.get(machine)?.state !== MachineState.Down) return;
       const {address} = ended.host;
       faults.silent.delete(hostId);
       boot(machine, hostId, moved ? `${address}'` : address);
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -164,6 +164,12 @@
   }
 
   function expireLease(): void {
+    record({
+      kind: FleetEventKind.Lapse,
+      hostId: host.id,
+      task: '',
+      run: 0,
+    });
     for (const run of [...runs.values()]) endRun(run, TaskEndKind.LeaseExpired);
   }
 
