Acknowledge no ends after a failed call until the host has reported

What callers saw: a task that was done ran again after its worker had restarted under its id.

Cause: each hold call named the highest stored end, also in the call after one that had failed. A worker that has restarted in between forgets its own ends up to that number, unread; the leader misses their runs in the report and starts them again.

Change: a hold call names only ends that were not acknowledged before, and none after a failed call or while a restart is announced, until a report has told which life answers.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -21,6 +21,27 @@
     Then all are "completed" within 12 s
     And the run history has no violations
 
+  # Guards against ends that a restarted host forgets unread because they are
+  # acknowledged by the numbers of its earlier ends.
+  @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A host restarts while the answer to an acknowledgement is lost
+    Given 3 entry hosts and 1 hosts for workflows
+    When 10 workflows of 6 tasks are submitted
+    Then all are "completed" within 12 s
+    When a workflow of 3 tasks of 300 ms is submitted
+    And 250 ms pass
+    And 100 of 100 hold calls to hosts are not answered
+    And 150 ms pass
+    And 100 of 100 orders to hosts are carried out 600 ms late without an answer
+    And a workflow of 1 tasks of 50 ms is submitted
+    And 50 ms pass
+    And the host with the most runs crashes and is back under its id after 100 ms
+    And 400 ms pass
+    And 0 of 100 hold calls to hosts are not answered
+    And 0 of 100 orders to hosts are carried out 0 ms late without an answer
+    Then all are "completed" within 6 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -294,7 +294,10 @@
     reports += 1;
     const number = reports;
     const {runEnds} = incarnation;
-    const seenEnd = runEnds.getUnacknowledged();
+    // After a failed call, another incarnation may answer, to which the numbers
+    // of this one mean other ends.
+    const seenEnd =
+      reached && !lastHoldFailed ? runEnds.getUnacknowledged() : 0;
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
