Keep a host's clock and leases with its incarnation

Its tasks were not started elsewhere for as long as it had been up, or until another host led.

Cause: the session kept one clock per id. The latest lease granted was a time on the clock of the earlier life, which the new life's clock doesn't pass for as long as the earlier one had run; until then no lease "had certainly expired".

Change: clock and leases belong to the incarnation, and so does whether it was reached. A lease is granted to a life that has reported only; a start that is repeated after a restart takes a lease on the new clock; an answer is read on the clock of the life to which the call went. Calls to the earlier life may have reached the new one, which cuts their times to the longest lease that it accepts: until that time has passed, the new life's leases don't count as expired.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -42,6 +42,23 @@
     Then all are "completed" within 6 s
     And the run history has no violations
 
+  # Guards against tasks that wait for a lease on the clock of an earlier
+  # incarnation of their host.
+  @promise-long-work @failure-crash
+  Scenario: A host that was up for long restarts, gets tasks and is lost
+    Given 3 entry hosts and 2 hosts for workflows
+    When 120 s pass
+    And a workflow of 20 tasks of 1000 ms is submitted
+    And 500 ms pass
+    And the host with the most runs crashes and is back under its id after 200 ms
+    Then all are "completed" within 12 s
+    When 12 s pass
+    And a workflow of 20 tasks of 3000 ms is submitted
+    And 1 s pass
+    And the host that has restarted stops answering but keeps running
+    Then all are "completed" within 16 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -6,9 +6,12 @@
 
 let reports: IncarnationReport[] = [];
 
+let restarted = '';
+
 async function restart(pauseMs: number, moved: boolean): Promise<void> {
   const machine = findBusiestMachine();
   const {fleet} = getWorld();
+  restarted = machine;
   fleet.crash(machine, false);
   await advance(pauseMs);
   fleet.restart(machine, moved);
@@ -19,6 +22,13 @@
   (pauseMs: number) => restart(pauseMs, false),
 );
 
+When('the host that has restarted stops answering but keeps running', () => {
+  const {fleet} = getWorld();
+  const host = fleet.getHost(restarted);
+  assert.ok(host && host.listRuns().length > 0);
+  fleet.faults.silent.add(host.host.id);
+});
+
 When(
   /^(\d+) random histories of (\d+) restarts and other faults are played for each of the seeds ([\d, ]+)$/,
   {timeout: 60_000},
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -119,6 +119,7 @@
 /** Timings of the test deployment in ms. */
 export const TIMES = {
   runLeaseMs: 6_000,
+  maxLeaseMs: 10_000,
   authorityMs: 4_000,
   stopMs: 400,
   keepStateMs: 120_000,
@@ -217,7 +218,7 @@
     keyValue,
     cpuMillis: HOST_CPU_MILLIS,
     memoryMb: HOST_MEMORY_MB,
-    maxLeaseMs: 10_000,
+    maxLeaseMs: TIMES.maxLeaseMs,
     moveMs: TIMES.moveMs,
     upkeepMs: TIMES.upkeepMs,
     random,
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -79,6 +79,8 @@
 export interface CoordinatorTimes {
   /** Length of the lease on a host's runs. */
   readonly runLeaseMs: number;
+  /** Maximum length of a lease that hosts accept. */
+  readonly maxLeaseMs: number;
   /**
    * Maximum time since the store last confirmed the term during which the
    * leader still extends leases.
@@ -351,6 +353,7 @@
       hosts,
       fence: term.fence,
       leaseMs: times.runLeaseMs,
+      maxLeaseMs: times.maxLeaseMs,
       earlierLeaseMs: Math.max(0, earlierLeasesUntil - performance.now()),
       stopMs: times.stopMs,
       mayExtend: () => term.getAgeMs() < times.authorityMs,
--- a/src/actors/workflows/host_clock.ts
+++ b/src/actors/workflows/host_clock.ts
@@ -43,13 +43,19 @@
 const ESTIMATE_SLACK_MS = 250;
 
 /**
- * Creates the clock estimate of one host.
+ * Creates the clock estimate of one host incarnation.
  *
- * @param unknownLeaseMs maximum remaining time in ms of leases granted by
+ * @param earlierLeaseMs maximum remaining time in ms of leases granted by
  *     earlier leaders
+ * @param misdirectedLeaseMs maximum remaining time in ms of leases that this
+ *     leader may have granted in calls to the incarnation before
  */
-export function createHostClock(unknownLeaseMs: number): HostClock {
-  let unknownLeasesUntil = performance.now() + unknownLeaseMs;
+export function createHostClock(
+  earlierLeaseMs: number,
+  misdirectedLeaseMs = 0,
+): HostClock {
+  const misdirectedUntil = performance.now() + misdirectedLeaseMs;
+  let earlierLeasesUntil = performance.now() + earlierLeaseMs;
   let reportedMs: number | undefined;
   let reportedAt = 0;
   let leaseUntil: number | undefined;
@@ -69,7 +75,7 @@
     },
     recordFenceAccepted(leaseMs) {
       if (reportedMs === undefined) return;
-      unknownLeasesUntil = 0;
+      earlierLeasesUntil = 0;
       leaseUntil = Math.max(
         leaseUntil ?? 0,
         reportedMs + leaseMs + ESTIMATE_SLACK_MS,
@@ -77,12 +83,10 @@
     },
     hasCertainlyExpired() {
       const now = performance.now();
-      if (reportedMs === undefined) return now > unknownLeasesUntil;
+      if (now <= Math.max(earlierLeasesUntil, misdirectedUntil)) return false;
+      if (reportedMs === undefined || leaseUntil === undefined) return true;
       const lowestClockMs = reportedMs + (now - reportedAt) * MIN_CLOCK_RATE;
-      return (
-        now > unknownLeasesUntil &&
-        (leaseUntil === undefined || lowestClockMs > leaseUntil)
-      );
+      return lowestClockMs > leaseUntil;
     },
   };
 }
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -1,3 +1,4 @@
+import {HostClock, MIN_CLOCK_RATE, createHostClock} from './host_clock';
 import {RunEndTracker, createRunEndTracker} from './run_end_tracker';
 
 /**
@@ -8,10 +9,44 @@
 export interface HostIncarnation {
   /** Unix time in ms at which it started; 0 until it is known. */
   bornAt: number;
+  /**
+   * Whether it has reported in this term, and no later incarnation has been
+   * announced since.
+   */
+  reached: boolean;
+  readonly clock: HostClock;
   readonly runEnds: RunEndTracker;
 }
 
-/** Creates the state of an incarnation that has not reported yet. */
-export function createHostIncarnation(bornAt: number): HostIncarnation {
-  return {bornAt, runEnds: createRunEndTracker()};
+/**
+ * Creates the state of the incarnation with which a session starts.
+ *
+ * @param bornAt Unix time in ms at which it started; 0 if unknown
+ * @param earlierLeaseMs maximum remaining time in ms of leases granted by
+ *     earlier leaders
+ */
+export function createHostIncarnation(
+  bornAt: number,
+  earlierLeaseMs: number,
+): HostIncarnation {
+  return create(bornAt, createHostClock(earlierLeaseMs));
+}
+
+/**
+ * Creates the state of an incarnation that has replaced another one during the
+ * session. Calls to the earlier one may have reached it, with times of another
+ * clock, which it has cut to the maximum length of a lease.
+ *
+ * @param bornAt Unix time in ms at which it started
+ * @param maxLeaseMs maximum length in ms of a lease that hosts accept
+ */
+export function createNextIncarnation(
+  bornAt: number,
+  maxLeaseMs: number,
+): HostIncarnation {
+  return create(bornAt, createHostClock(0, maxLeaseMs / MIN_CLOCK_RATE));
+}
+
+function create(bornAt: number, clock: HostClock): HostIncarnation {
+  return {bornAt, reached: false, clock, runEnds: createRunEndTracker()};
 }
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -18,8 +18,11 @@
 import {Log} from '../../telemetry';
 import {TaskEnd, TaskHost} from '../../types/workflow';
 import {HostEnd} from './host_end';
-import {createHostClock} from './host_clock';
-import {createHostIncarnation} from './host_incarnation';
+import {
+  HostIncarnation,
+  createHostIncarnation,
+  createNextIncarnation,
+} from './host_incarnation';
 import {createRecentEntries} from './recent_entries';
 import {createRunOrders} from './run_orders';
 import {TermErrors} from './term_errors';
@@ -85,6 +88,8 @@
   readonly leaseMs: number;
   /** Maximum remaining time of leases granted by earlier leaders, in ms. */
   readonly earlierLeaseMs: number;
+  /** Maximum length of a lease that hosts accept, in ms. */
+  readonly maxLeaseMs: number;
   /** Maximum time that a host takes to stop a run, in ms. */
   readonly stopMs: number;
   /**
@@ -170,6 +175,7 @@
   fence,
   leaseMs,
   earlierLeaseMs,
+  maxLeaseMs,
   stopMs,
   mayExtend,
   usage,
@@ -186,12 +192,10 @@
   let host = firstHost;
   const address: HostAddress = {id: host.id, address: host.address};
   const tasks = new Map<string, TaskRecord>();
-  const clock = createHostClock(earlierLeaseMs);
   const strayStopsAllowedAt = createRecentEntries<number>(MAX_STRAY_RUNS);
   const abort = new AbortController();
   let room = createRoom(host, []);
   let registered = true;
-  let reached = false;
   let gone = false;
   let cordoned = false;
   /** Monotonic time in ms until which the host gets no new tasks. */
@@ -200,7 +204,7 @@
   let answeredAt = 0;
   /** Number of reports requested. */
   let reports = 0;
-  let incarnation = createHostIncarnation(host.bornAt);
+  let incarnation = createHostIncarnation(host.bornAt, earlierLeaseMs);
   let isHolding = false;
   let lastHoldFailed = false;
   let wake: (() => void) | undefined;
@@ -210,6 +214,7 @@
     fence,
     signal: abort.signal,
     isCurrent,
+    getIncarnation: () => incarnation,
     nextLease,
     onAnswer: recordAnswer,
     onFailure: handleFailure,
@@ -264,7 +269,7 @@
 
   function needsHold(): boolean {
     if (gone) return false;
-    const {runEnds} = incarnation;
+    const {reached, runEnds} = incarnation;
     if (tasks.size > 0 || runEnds.getUnacknowledged() > 0) return true;
     return !reached && registered;
   }
@@ -293,7 +298,7 @@
   async function holdOnce(): Promise<boolean> {
     reports += 1;
     const number = reports;
-    const {runEnds} = incarnation;
+    const {reached, runEnds} = incarnation;
     // After a failed call, another incarnation may answer, to which the numbers
     // of this one mean other ends.
     const seenEnd =
@@ -318,7 +323,8 @@
       return false;
     }
     const report = answer.value;
-    recordAnswer(report);
+    identify(report.bornAt);
+    recordAnswer(report, incarnation);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
       return false;
@@ -335,20 +341,18 @@
   }
 
   function nextLease(): number | undefined {
+    const {clock, reached} = incarnation;
     const clockMs = clock.estimate();
-    if (clockMs === undefined || !mayExtend()) return undefined;
+    if (clockMs === undefined || !reached || !mayExtend()) return undefined;
     const untilMs = clockMs + leaseMs;
     clock.recordLease(untilMs);
     return untilMs;
   }
 
   function handleReport(report: HoldReport, number: number): void {
-    const {bornAt} = report;
-    if (bornAt !== 0 && isOtherIncarnation(bornAt)) handleRestart(bornAt);
-    else if (bornAt !== 0) incarnation.bornAt = bornAt;
-    if (!reached) {
-      reached = true;
-      clock.recordFenceAccepted(leaseMs);
+    if (!incarnation.reached) {
+      incarnation.reached = true;
+      incarnation.clock.recordFenceAccepted(leaseMs);
       log.info('host reached', {host: host.id, pool: host.pool, fence});
     }
     const present = new Set<string>();
@@ -429,8 +433,11 @@
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
-  function isOtherIncarnation(bornAt: number): boolean {
-    return incarnation.bornAt !== 0 && incarnation.bornAt !== bornAt;
+  /** Notes which incarnation has answered; 0 if it has not told. */
+  function identify(bornAt: number): void {
+    if (bornAt === 0 || bornAt === incarnation.bornAt) return;
+    if (incarnation.bornAt === 0) incarnation.bornAt = bornAt;
+    else handleRestart(bornAt);
   }
 
   /**
@@ -446,10 +453,10 @@
       unstoredEnds: incarnation.runEnds.countUnstored(),
     });
     reportCrash(task => task.placement?.bornAt !== bornAt);
-    incarnation = createHostIncarnation(bornAt);
+    incarnation = createNextIncarnation(bornAt, maxLeaseMs);
   }
 
-  function recordAnswer({clockMs}: HostAnswer): void {
+  function recordAnswer({clockMs}: HostAnswer, {clock}: HostIncarnation): void {
     answeredAt = performance.now();
     clock.observe(clockMs);
   }
@@ -494,8 +501,8 @@
    * as the host stops them by then.
    */
   function dropExpiredRuns(): void {
-    if (performance.now() > suspectUntil || !clock.hasCertainlyExpired())
-      return;
+    if (performance.now() > suspectUntil) return;
+    if (!incarnation.clock.hasCertainlyExpired()) return;
     for (const task of [...tasks.values()]) dropRun(task, 'lease expired');
   }
 
@@ -569,9 +576,8 @@
       registered = next !== undefined;
       if (!next) return;
       if (incarnation.bornAt !== 0 && next.bornAt > incarnation.bornAt) {
-        // From now on reports come from the new incarnation, so it must be
-        // reached again.
-        reached = false;
+        // The new incarnation has to report before it gets tasks or leases.
+        incarnation.reached = false;
       }
       host = next;
       room = createRoom(next, tasks.values());
@@ -579,7 +585,7 @@
     },
     isUsable: () =>
       registered &&
-      reached &&
+      incarnation.reached &&
       !gone &&
       !cordoned &&
       !host.draining &&
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -7,6 +7,7 @@
   TaskHosts,
 } from '../../ports/hosts';
 import {delay} from '../../state';
+import {HostIncarnation} from './host_incarnation';
 
 /**
  * Sends orders to one host. Start and stop orders are retried until they are
@@ -35,13 +36,15 @@
   readonly signal: AbortSignal;
   /** Returns whether the run still belongs to the session. */
   readonly isCurrent: (task: TaskRecord, placement: Placement) => boolean;
+  /** Returns the incarnation of the host that is known to have answered last. */
+  readonly getIncarnation: () => HostIncarnation;
   /**
-   * Returns the time on the host's clock, in ms, at which the next lease
-   * expires; undefined while leases may not be extended.
+   * Returns the time on the clock of this incarnation, in ms, at which the next
+   * lease expires; undefined while leases may not be extended.
    */
   readonly nextLease: () => number | undefined;
-  /** Called when the host has answered an order. */
-  readonly onAnswer: (answer: HostAnswer) => void;
+  /** Called when the host has answered an order to one of its incarnations. */
+  readonly onAnswer: (answer: HostAnswer, incarnation: HostIncarnation) => void;
   /**
    * Called when a call got no answer from the intended host incarnation.
    * `sentAt` is the monotonic time of the call in ms.
@@ -74,6 +77,7 @@
   fence,
   signal,
   isCurrent,
+  getIncarnation,
   nextLease,
   onAnswer,
   onFailure,
@@ -88,8 +92,14 @@
     ticket: string,
   ): Promise<void> {
     let unanswered = false;
+    let incarnation = getIncarnation();
     let untilMs: number | undefined;
     while (isCurrent(task, placement) && !placement.stopping) {
+      if (incarnation !== getIncarnation()) {
+        // The lease was a time on the clock of the earlier incarnation.
+        incarnation = getIncarnation();
+        untilMs = undefined;
+      }
       untilMs ??= nextLease();
       if (untilMs === undefined) {
         await delay(RETRY_MS, signal);
@@ -107,7 +117,7 @@
       });
       if (!isCurrent(task, placement)) return;
       if (answer.isOk) {
-        onAnswer(answer.value);
+        onAnswer(answer.value, incarnation);
         const {refusal} = answer.value;
         if (refusal === HostRefusal.Fenced) return onFenced();
         if (refusal === undefined || refusal === HostRefusal.OldRun) {
@@ -145,6 +155,7 @@
     placement.stopping = true;
     while (isCurrent(task, placement)) {
       const sentAt = performance.now();
+      const incarnation = getIncarnation();
       const answer = await hosts.stop(address, {
         task: task.name,
         run: placement.run,
@@ -152,7 +163,7 @@
       });
       if (!isCurrent(task, placement)) return;
       if (answer.isOk) {
-        onAnswer(answer.value);
+        onAnswer(answer.value, incarnation);
         if (answer.value.refusal === HostRefusal.Fenced) return onFenced();
         placement.stoppedAt = performance.now();
         return onSettled(placement);
