Follow a host that restarts at another address

Cause: the address was read from the first registration of an id and kept for the session, while the session lives on over restarts.

Change: each hold call goes to the registered address. An entry with an earlier birth than that of the life that answers may be one that was written late, so it counts only if the known life doesn't answer. After a move the host gets no tasks and no leases until it has reported, and another host at the new address says nothing about the life that was known at the old one.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -59,6 +59,18 @@
     Then all are "completed" within 16 s
     And the run history has no violations
 
+  # Guards against calls to the address that a restarted host had before.
+  @promise-long-work @failure-crash
+  Scenario: All hosts restart at other addresses
+    Given 3 entry hosts and 2 hosts for workflows
+    When a workflow of 20 tasks of 3000 ms is submitted
+    And 1 s pass
+    And every host crashes and is back at another address after 500 ms
+    And 1 s pass
+    And a workflow of 6 tasks of 500 ms is submitted
+    Then all are "completed" within 14 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -22,6 +22,16 @@
   (pauseMs: number) => restart(pauseMs, false),
 );
 
+When(
+  'every host crashes and is back at another address after {int} ms',
+  async (pauseMs: number) => {
+    const {fleet} = getWorld();
+    for (const machine of fleet.machines.keys()) fleet.crash(machine, false);
+    await advance(pauseMs);
+    for (const machine of fleet.machines.keys()) fleet.restart(machine, true);
+  },
+);
+
 When('the host that has restarted stops answering but keeps running', () => {
   const {fleet} = getWorld();
   const host = fleet.getHost(restarted);
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -1,3 +1,4 @@
+import {TaskHost} from '../../types/workflow';
 import {HostClock, MIN_CLOCK_RATE, createHostClock} from './host_clock';
 import {RunEndTracker, createRunEndTracker} from './run_end_tracker';
 
@@ -9,6 +10,8 @@
 export interface HostIncarnation {
   /** Unix time in ms at which it started; 0 until it is known. */
   bornAt: number;
+  /** Address at which it has reported, or was registered at first. */
+  address: string;
   /**
    * Whether it has reported in this term, and no later incarnation has been
    * announced since.
@@ -21,15 +24,15 @@
 /**
  * Creates the state of the incarnation with which a session starts.
  *
- * @param bornAt Unix time in ms at which it started; 0 if unknown
+ * @param host the host as it is registered
  * @param earlierLeaseMs maximum remaining time in ms of leases granted by
  *     earlier leaders
  */
 export function createHostIncarnation(
-  bornAt: number,
+  {bornAt, address}: TaskHost,
   earlierLeaseMs: number,
 ): HostIncarnation {
-  return create(bornAt, createHostClock(earlierLeaseMs));
+  return create(bornAt, address, createHostClock(earlierLeaseMs));
 }
 
 /**
@@ -38,15 +41,23 @@
  * clock, which it has cut to the maximum length of a lease.
  *
  * @param bornAt Unix time in ms at which it started
+ * @param address address at which it has reported
  * @param maxLeaseMs maximum length in ms of a lease that hosts accept
  */
 export function createNextIncarnation(
   bornAt: number,
+  address: string,
   maxLeaseMs: number,
 ): HostIncarnation {
-  return create(bornAt, createHostClock(0, maxLeaseMs / MIN_CLOCK_RATE));
+  const clock = createHostClock(0, maxLeaseMs / MIN_CLOCK_RATE);
+  return create(bornAt, address, clock);
 }
 
-function create(bornAt: number, clock: HostClock): HostIncarnation {
-  return {bornAt, reached: false, clock, runEnds: createRunEndTracker()};
+function create(
+  bornAt: number,
+  address: string,
+  clock: HostClock,
+): HostIncarnation {
+  const runEnds = createRunEndTracker();
+  return {bornAt, address, reached: false, clock, runEnds};
 }
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -190,7 +190,6 @@
   onFenced,
 }: HostSessionOptions): HostSession {
   let host = firstHost;
-  const address: HostAddress = {id: host.id, address: host.address};
   const tasks = new Map<string, TaskRecord>();
   const strayStopsAllowedAt = createRecentEntries<number>(MAX_STRAY_RUNS);
   const abort = new AbortController();
@@ -204,13 +203,14 @@
   let answeredAt = 0;
   /** Number of reports requested. */
   let reports = 0;
-  let incarnation = createHostIncarnation(host.bornAt, earlierLeaseMs);
+  let incarnation = createHostIncarnation(host, earlierLeaseMs);
+  let address: HostAddress = {id: host.id, address: host.address};
   let isHolding = false;
   let lastHoldFailed = false;
   let wake: (() => void) | undefined;
   const orders = createRunOrders({
     hosts,
-    address,
+    getAddress: () => address,
     fence,
     signal: abort.signal,
     isCurrent,
@@ -295,7 +295,25 @@
     return incarnation.runEnds.countUnstored() > 0;
   }
 
+  /**
+   * Follows the host to the address that it has registered. An entry of an
+   * earlier incarnation may be written late: it counts only if the known one
+   * does not answer.
+   */
+  function updateAddress(): void {
+    if (host.address === address.address) return;
+    if (host.bornAt < incarnation.bornAt && !lastHoldFailed) return;
+    log.info('host moved', {
+      host: host.id,
+      address: host.address,
+      earlierAddress: address.address,
+    });
+    address = {id: host.id, address: host.address};
+    incarnation.reached = false;
+  }
+
   async function holdOnce(): Promise<boolean> {
+    updateAddress();
     reports += 1;
     const number = reports;
     const {reached, runEnds} = incarnation;
@@ -310,7 +328,8 @@
     const waits = tasks.size > 0 && reached && untilMs !== undefined;
     const waitMs = waits && !hasUnstoredEnds() ? getHoldWaitMs() : 0;
     const sentAt = performance.now();
-    const answer = await hosts.hold(address, {
+    const calledAddress = address;
+    const answer = await hosts.hold(calledAddress, {
       fence,
       seenEnd,
       untilMs,
@@ -323,7 +342,7 @@
       return false;
     }
     const report = answer.value;
-    identify(report.bornAt);
+    identify(report.bornAt, calledAddress.address);
     recordAnswer(report, incarnation);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
@@ -433,11 +452,17 @@
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
-  /** Notes which incarnation has answered; 0 if it has not told. */
-  function identify(bornAt: number): void {
-    if (bornAt === 0 || bornAt === incarnation.bornAt) return;
-    if (incarnation.bornAt === 0) incarnation.bornAt = bornAt;
-    else handleRestart(bornAt);
+  /**
+   * Notes which incarnation has answered, and where; `bornAt` is 0 if it has
+   * not told.
+   */
+  function identify(bornAt: number, answeredFrom: string): void {
+    if (bornAt === 0 || bornAt === incarnation.bornAt) {
+      incarnation.address = answeredFrom;
+    } else if (incarnation.bornAt === 0) {
+      incarnation.bornAt = bornAt;
+      incarnation.address = answeredFrom;
+    } else handleRestart(bornAt, answeredFrom);
   }
 
   /**
@@ -445,7 +470,7 @@
    * longer lists are dropped by `dropAbsent`; recently ordered runs may already
    * belong to the new incarnation.
    */
-  function handleRestart(bornAt: number): void {
+  function handleRestart(bornAt: number, answeredFrom: string): void {
     log.warn('host restarted', {
       host: host.id,
       bornAt,
@@ -453,7 +478,7 @@
       unstoredEnds: incarnation.runEnds.countUnstored(),
     });
     reportCrash(task => task.placement?.bornAt !== bornAt);
-    incarnation = createNextIncarnation(bornAt, maxLeaseMs);
+    incarnation = createNextIncarnation(bornAt, answeredFrom, maxLeaseMs);
   }
 
   function recordAnswer({clockMs}: HostAnswer, {clock}: HostIncarnation): void {
@@ -473,7 +498,10 @@
       log.warn('host lost', {host: host.id, pool: host.pool, call, failure});
     }
     suspectUntil = performance.now() + SUSPECT_DURATION_MS;
-    if (failure === HostCallFailure.Replaced) {
+    // At an address where it has not reported yet, another host says nothing
+    // about it.
+    const isKnownAddress = address.address === incarnation.address;
+    if (failure === HostCallFailure.Replaced && isKnownAddress) {
       handleGone(
         'another host incarnation answers at its address',
         HostEnd.Crashed,
@@ -580,6 +608,7 @@
         incarnation.reached = false;
       }
       host = next;
+      updateAddress();
       room = createRoom(next, tasks.values());
       startHolding();
     },
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -31,7 +31,8 @@
 /** Dependencies of the orders to one host. */
 export interface RunOrdersOptions {
   readonly hosts: TaskHosts;
-  readonly address: HostAddress;
+  /** Returns the address at which the host is now. */
+  readonly getAddress: () => HostAddress;
   readonly fence: number;
   readonly signal: AbortSignal;
   /** Returns whether the run still belongs to the session. */
@@ -67,13 +68,13 @@
 const RETRY_MS = 200;
 
 /**
- * Creates the orders to one host incarnation.
+ * Creates the orders to one host.
  *
  * @param options the host, the term and callbacks
  */
 export function createRunOrders({
   hosts,
-  address,
+  getAddress,
   fence,
   signal,
   isCurrent,
@@ -106,7 +107,7 @@
         continue;
       }
       const sentAt = performance.now();
-      const answer = await hosts.start(address, {
+      const answer = await hosts.start(getAddress(), {
         task: task.name,
         run: placement.run,
         spec: task.workflow.spec,
@@ -156,7 +157,7 @@
     while (isCurrent(task, placement)) {
       const sentAt = performance.now();
       const incarnation = getIncarnation();
-      const answer = await hosts.stop(address, {
+      const answer = await hosts.stop(getAddress(), {
         task: task.name,
         run: placement.run,
         fence,
@@ -180,7 +181,7 @@
       const {run} = placement;
       placement.pace = percent;
       const answer = await hosts.pace(
-        address,
+        getAddress(),
         {task: name, run, fence},
         percent,
       );
