Give a lost host no tasks until it has reported again

What callers saw: work whose host was lost waited for a second lease. Once a host's lease had expired and its tasks were dropped, nothing was left to hold, so nobody asked it any more; a second after the last failed call it counted as usable, got tasks again, and those waited until it came back or the next lease was over.

Change: a host whose lease has expired unheard has to report before it gets tasks, like one that has just been registered, and is asked until it does. Hosts that have never reported are asked less often: the delay doubles up to 1.6 s.

--- a/features/workflows/store_outage.feature
+++ b/features/workflows/store_outage.feature
@@ -44,6 +44,20 @@
     Then it is "completed" within 3 s
     And the run history has no violations
 
+  # Guards against tasks that are done and run again because their ends arrive
+  # after their runs were given up
+  @promise-long-work @failure-partition
+  Scenario: The ends of runs that were given up count
+    Given 3 entry hosts and 1 hosts for workflows
+    When a workflow of 8 tasks of 2000 ms is submitted
+    And 1 s pass
+    And every host stops answering but keeps running
+    And 9 s pass
+    And every host answers again
+    Then all are "completed" within 3 s
+    And every task has started exactly once
+    And the run history has no violations
+
   # Guards against ends that are acknowledged before the next leader could know
   # of them
   @promise-long-work @failure-partition @failure-store-down @failure-crash
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -148,8 +148,13 @@
  * lost answer delays the report of their ends by this time.
  */
 const END_WAIT_MS = 400;
-/** Delay before retrying a call that failed, in ms. */
+/** Delay before retrying a hold call that failed, in ms. */
 const RETRY_MS = 200;
+/**
+ * Maximum delay before retrying a hold call to a host that has never reported,
+ * in ms; the delay doubles with each failure.
+ */
+const MAX_UNKNOWN_RETRY_MS = 1_600;
 /** How long a host receives no new tasks after a failed call, in ms. */
 const SUSPECT_DURATION_MS = 1_000;
 /** Maximum number of ends in one report. */
@@ -201,6 +206,8 @@
   const abort = new AbortController();
   let room = createRoom(host, []);
   let registered = true;
+  /** Whether the host has reported during the session. */
+  let wasReached = false;
   let gone = false;
   let cordoned = false;
   /** Monotonic time in ms until which the host gets no new tasks. */
@@ -212,7 +219,8 @@
   let incarnation = createHostIncarnation(host, earlierLeaseMs);
   let address: HostAddress = {id: host.id, address: host.address};
   let isHolding = false;
-  let lastHoldFailed = false;
+  /** Number of hold calls that have failed in a row. */
+  let failedHolds = 0;
   let wake: (() => void) | undefined;
   const orders = createRunOrders({
     hosts,
@@ -246,10 +254,10 @@
         try {
           await waitForStore();
           if (abort.signal.aborted) break;
-          if (!(await holdOnce())) await delay(RETRY_MS, abort.signal);
+          if (!(await holdOnce())) await delay(getRetryMs(), abort.signal);
         } catch (error) {
           handleError(error);
-          await delay(RETRY_MS, abort.signal);
+          await delay(getRetryMs(), abort.signal);
         }
         dropExpiredRuns();
       }
@@ -258,6 +266,12 @@
     }
   }
 
+  function getRetryMs(): number {
+    if (tasks.size > 0 || wasReached) return RETRY_MS;
+    const doublings = Math.max(0, failedHolds - 1);
+    return Math.min(MAX_UNKNOWN_RETRY_MS, RETRY_MS * 2 ** doublings);
+  }
+
   function startHolding(): void {
     runInBackground(hold, handleError);
   }
@@ -269,7 +283,7 @@
   function handleError(error: unknown): void {
     if (abort.signal.aborted) return;
     errors.report('host session', error, {host: host.id, pool: host.pool});
-    lastHoldFailed = true;
+    failedHolds += 1;
     suspectUntil = performance.now() + SUSPECT_DURATION_MS;
   }
 
@@ -308,7 +322,7 @@
    */
   function updateAddress(): void {
     if (host.address === address.address) return;
-    if (host.bornAt < incarnation.bornAt && !lastHoldFailed) return;
+    if (host.bornAt < incarnation.bornAt && failedHolds === 0) return;
     log.info('host moved', {
       host: host.id,
       address: host.address,
@@ -326,11 +340,11 @@
     // After a failed call, another incarnation may answer, to which the numbers
     // of this one mean other ends.
     const seenEnd =
-      reached && !lastHoldFailed ? runEnds.getUnacknowledged() : 0;
+      reached && failedHolds === 0 ? runEnds.getUnacknowledged() : 0;
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
-    const untilMs = lastHoldFailed ? undefined : nextLease();
+    const untilMs = failedHolds > 0 ? undefined : nextLease();
     const waits = tasks.size > 0 && reached && untilMs !== undefined;
     const waitMs = waits && !hasUnstoredEnds() ? getHoldWaitMs() : 0;
     const sentAt = performance.now();
@@ -342,7 +356,7 @@
       waitMs,
     });
     if (abort.signal.aborted) return true;
-    lastHoldFailed = answer.isErr;
+    failedHolds = answer.isErr ? failedHolds + 1 : 0;
     if (answer.isErr) {
       handleFailure('hold', answer.error, sentAt);
       return false;
@@ -377,6 +391,7 @@
   function handleReport(report: HoldReport, number: number): void {
     if (!incarnation.reached) {
       incarnation.reached = true;
+      wasReached = true;
       incarnation.clock.recordFenceAccepted(leaseMs);
       log.info('host reached', {host: host.id, pool: host.pool, fence});
     }
@@ -533,11 +548,12 @@
 
   /**
    * Drops the runs of an unreachable host once its lease has certainly expired,
-   * as the host stops them by then.
+   * as the host stops them by then. It gets no tasks until it has reported.
    */
   function dropExpiredRuns(): void {
     if (performance.now() > suspectUntil) return;
     if (!incarnation.clock.hasCertainlyExpired()) return;
+    incarnation.reached = false;
     for (const task of [...tasks.values()]) dropRun(task, 'lease expired');
   }
 
