Believe only hosts that have answered about the machine they are on

All tasks of that worker were started a second time elsewhere while their first runs went on. Related, found by the random histories: a worker whose wall clock was set back counted as ended as soon as the old entry of the worker before it was read again.

Cause: of the entries that name one machine the one with the latest birth was taken for the host there, whatever its service and though nothing had ever answered at its address. Its birth was compared with those of other clocks.

Change: an entry whose pool isn't configured names no host: no session is opened and no call is made. That a host has ended since another one runs on its machine is concluded only if the other one has reported, for the first time, after the last answer of the one before; births are no longer compared. Sessions are opened for all entries of a machine; those that never answer get no tasks and are asked seldom.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -33,6 +33,7 @@
     And 100 of 100 hold calls to hosts are not answered
     And 150 ms pass
     And 100 of 100 orders to hosts are carried out 600 ms late without an answer
+    And late orders reach a host that has restarted meanwhile
     And a workflow of 1 tasks of 50 ms is submitted
     And 50 ms pass
     And the host with the most runs crashes and is back under its id after 100 ms
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -22,6 +22,10 @@
   (pauseMs: number) => restart(pauseMs, false),
 );
 
+When('late orders reach a host that has restarted meanwhile', () => {
+  getWorld().fleet.faults.ordersOutliveHosts = true;
+});
+
 When(
   'every host crashes and is back at another address after {int} ms',
   async (pauseMs: number) => {
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -108,6 +108,11 @@
    */
   readonly getOrganisations: () =>
     ReadonlyMap<string, Organisation> | undefined;
+  /**
+   * Returns whether a pool is configured; true for any while no configuration
+   * is known.
+   */
+  readonly isPool: (name: string) => boolean;
   /** Whether room is kept for large work that does not fit yet. */
   readonly looksAhead: boolean;
   /** Returns the current Unix time in ms. */
@@ -146,6 +151,7 @@
   times,
   registry,
   getOrganisations,
+  isPool,
   looksAhead,
   unixNow,
   log,
@@ -161,6 +167,7 @@
   const disposers: (() => void)[] = [];
   const sessions = createHostSessions(
     registry,
+    isPool,
     openSession,
     (key, error) => errors.ignore(key, error),
     usable => hostHealth.filter(usable),
@@ -253,6 +260,7 @@
       registry.entries.onChange(errors.guard('host registry', readRegistry)),
     );
     const review = setInterval(() => {
+      errors.run('host registry', () => sessions.endReplaced());
       errors.run('evacuation', () => sessions.evacuate());
       schedulePlacement();
       errors.run('pacing', () => pacing.review());
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -12,6 +12,8 @@
   bornAt: number;
   /** Address at which it has reported, or was registered at first. */
   address: string;
+  /** Monotonic time in ms of its first report in this term; 0 before. */
+  reportedAt: number;
   /**
    * Whether it has reported in this term, and no later incarnation has been
    * announced since.
@@ -59,5 +61,5 @@
   clock: HostClock,
 ): HostIncarnation {
   const runEnds = createRunEndTracker();
-  return {bornAt, address, reached: false, clock, runEnds};
+  return {bornAt, address, reportedAt: 0, reached: false, clock, runEnds};
 }
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -48,6 +48,12 @@
   isCordoned(): boolean;
   /** Returns whether this incarnation of the host is known to have ended. */
   isGone(): boolean;
+  /**
+   * Monotonic time in ms of the first report of its incarnation; 0 before.
+   */
+  readonly reportedAt: number;
+  /** Monotonic time in ms of its last answer, or of the session's start. */
+  readonly answeredAt: number;
   /** Unix time in ms at which the last seen incarnation of the host started. */
   readonly bornAt: number;
   /**
@@ -206,14 +212,12 @@
   const abort = new AbortController();
   let room = createRoom(host, []);
   let registered = true;
-  /** Whether the host has reported during the session. */
-  let wasReached = false;
   let gone = false;
   let cordoned = false;
   /** Monotonic time in ms until which the host gets no new tasks. */
   let suspectUntil = 0;
-  /** Monotonic time in ms of the host's last answer. */
-  let answeredAt = 0;
+  /** Monotonic time in ms of the host's last answer, or of the session's start. */
+  let answeredAt = performance.now();
   /** Number of reports requested. */
   let reports = 0;
   let incarnation = createHostIncarnation(host, earlierLeaseMs);
@@ -267,7 +271,7 @@
   }
 
   function getRetryMs(): number {
-    if (tasks.size > 0 || wasReached) return RETRY_MS;
+    if (tasks.size > 0 || incarnation.reportedAt > 0) return RETRY_MS;
     const doublings = Math.max(0, failedHolds - 1);
     return Math.min(MAX_UNKNOWN_RETRY_MS, RETRY_MS * 2 ** doublings);
   }
@@ -389,9 +393,9 @@
   }
 
   function handleReport(report: HoldReport, number: number): void {
+    incarnation.reportedAt ||= performance.now();
     if (!incarnation.reached) {
       incarnation.reached = true;
-      wasReached = true;
       incarnation.clock.recordFenceAccepted(leaseMs);
       log.info('host reached', {host: host.id, pool: host.pool, fence});
     }
@@ -647,6 +651,12 @@
     },
     isCordoned: () => cordoned,
     isGone: () => gone,
+    get reportedAt() {
+      return incarnation.reportedAt;
+    },
+    get answeredAt() {
+      return answeredAt;
+    },
     get bornAt() {
       return incarnation.bornAt;
     },
--- a/src/actors/workflows/host_sessions.ts
+++ b/src/actors/workflows/host_sessions.ts
@@ -13,6 +13,8 @@
   readonly all: ReadonlyMap<string, HostSession>;
   /** Opens, updates and closes sessions according to the host registry. */
   update(): void;
+  /** Ends the sessions with hosts on whose machine another one has started. */
+  endReplaced(): void;
   /** Adds a task that an earlier leader placed to the session of its host. */
   adopt(task: TaskRecord): void;
   /** Returns the sessions of a pool's hosts on which tasks may be started. */
@@ -41,13 +43,16 @@
  * Creates the sessions of a term.
  *
  * @param registry mirror of the host registry
- * @param open opens the session with one host incarnation
+ * @param isPool returns whether a pool is configured; entries that name another
+ *     one are not those of hosts
+ * @param open opens the session with one host
  * @param onInvalid called with the key of an entry that cannot be handled and
  *     what was thrown
  * @param filter removes hosts that must not be used from a pool's sessions
  */
 export function createHostSessions(
   registry: Mirror<TaskHost>,
+  isPool: (name: string) => boolean,
   open: (host: TaskHost) => HostSession,
   onInvalid: (key: string, error: unknown) => void,
   filter: (
@@ -64,27 +69,37 @@
   }
 
   /**
-   * Returns the most recently started host on each machine; earlier hosts on
-   * the same machine have certainly ended.
+   * Ends the sessions with hosts on whose machine another one has started since
+   * their last answer. An entry alone may be false or late, and births are times
+   * of different clocks, so the other host must have reported.
    */
-  function findLatestHosts(): ReadonlyMap<string, TaskHost> {
-    const latestHosts = new Map<string, TaskHost>();
-    for (const {value: host} of registry.entries.get().values()) {
-      if (host.machine === '') continue;
-      const known = latestHosts.get(host.machine);
-      if (!known || host.bornAt > known.bornAt)
-        latestHosts.set(host.machine, host);
+  function endReplaced(): void {
+    const sessionsByMachine = new Map<string, HostSession[]>();
+    for (const session of all.values()) {
+      const {machine} = session.room.host;
+      const sessions = sessionsByMachine.get(machine);
+      if (sessions) sessions.push(session);
+      else sessionsByMachine.set(machine, [session]);
+    }
+    sessionsByMachine.delete('');
+    for (const sessions of sessionsByMachine.values()) {
+      for (const session of sessions) {
+        const isReplaced = sessions.some(
+          other => other !== session && other.reportedAt > session.answeredAt,
+        );
+        if (!isReplaced) continue;
+        session.markGone('another host runs on its machine', HostEnd.Crashed);
+      }
     }
-    return latestHosts;
   }
 
-  function applyEntry(host: TaskHost, isLatest: boolean): void {
+  function applyEntry(host: TaskHost): void {
     const session = all.get(host.id);
     if (session?.isGone() && session.bornAt !== host.bornAt) {
       session.dispose();
       openSession(host);
     } else if (session) session.update(host);
-    else if (isLatest) openSession(host);
+    else openSession(host);
   }
 
   function listUsable(pool: string): readonly HostSession[] {
@@ -112,26 +127,20 @@
 
   return {
     all,
+    endReplaced,
     update() {
-      const latestHosts = findLatestHosts();
       const listed = new Set<string>();
       for (const {key, value: host} of registry.entries.get().values()) {
+        if (!isPool(host.pool)) continue;
         listed.add(host.id);
-        const latest = latestHosts.get(host.machine) ?? host;
         try {
-          applyEntry(host, latest.id === host.id);
+          applyEntry(host);
         } catch (error) {
           onInvalid(key, error);
         }
       }
+      endReplaced();
       for (const [id, session] of all) {
-        const latest = latestHosts.get(session.room.host.machine);
-        if (latest && latest.id !== id && latest.bornAt > session.bornAt) {
-          session.markGone(
-            'a later host incarnation runs on its machine',
-            HostEnd.Crashed,
-          );
-        }
         if (!listed.has(id)) session.update(undefined);
         if (!session.isIdle()) continue;
         session.dispose();
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -31,6 +31,11 @@
    * answered.
    */
   delayedOrders: {share: number; afterMs: number};
+  /**
+   * Whether a host that has restarted carries out delayed orders that were sent
+   * to its earlier incarnation.
+   */
+  ordersOutliveHosts: boolean;
 }
 
 /** Stand-in hosts and machines in memory, without any transport. */
@@ -147,6 +152,7 @@
     lostAnswers: 0,
     lostHolds: 0,
     delayedOrders: {share: 0, afterMs: 0},
+    ordersOutliveHosts: false,
   };
   let hostCount = 0;
   let startsOnEndedHosts = 0;
@@ -232,7 +238,7 @@
     }
     if (isOrder && random() < faults.delayedOrders.share) {
       setTimeout(() => {
-        const late = hosts.get(id);
+        const late = faults.ordersOutliveHosts ? hosts.get(id) : host;
         if (late && !endedHosts.has(late)) void effect(late);
       }, faults.delayedOrders.afterMs);
       return timeOut();
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -258,6 +258,7 @@
         times,
         registry,
         getOrganisations: () => latest?.organisations,
+        isPool: name => latest?.pools.has(name) ?? true,
         looksAhead,
         unixNow,
         log,
