Tell in the log from which commit the program was built

The deploy file's command always builds the program anew; it is only reused where that command isn't run.

Change: the build writes the commit into the program, with -dirty if files were changed; the line `start` tells it, or `unknown` outside of a checkout.

--- a/features/platform/build.steps.ts
+++ b/features/platform/build.steps.ts
@@ -94,3 +94,17 @@
 });
 
 Then('it fails', () => assert.notEqual(status, 0));
+
+When('the program is built from this checkout', () => {
+  checkout = mkdtempSync(join(tmpdir(), 'sesamefront-build-'));
+  const program = join(checkout, 'entry.cjs');
+  const words = ['scripts/build_platform.mjs', program];
+  assert.equal(spawnSync(process.execPath, words).status, 0);
+});
+
+Then('it holds the commit of this checkout', () => {
+  const {stdout} = spawnSync('git', ['rev-parse', '--short=12', 'HEAD']);
+  const commit = stdout.toString().trim();
+  const program = readFileSync(join(checkout ?? '', 'entry.cjs'), 'utf8');
+  assert.match(program, new RegExp(`"${commit}(-dirty)?"`));
+});
