--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -1,8 +1,8 @@
 import {
   HostRoom,
-  OrganisationUsage,
   Placement,
   TaskRecord,
+  createHostRoom,
   releaseRoom,
   reserveRoom,
 } from '../../decisions/workflows';
@@ -12,10 +12,8 @@
   HostAddress,
   HostCallFailure,
   HostRefusal,
-  TaskHosts,
 } from '../../ports/hosts';
 import {delay, runInBackground} from '../../state';
-import {Log} from '../../telemetry';
 import {TaskEnd, TaskHost} from '../../types/workflow';
 import {HostEnd} from './host_end';
 import {
@@ -23,9 +21,9 @@
   createHostIncarnation,
   createNextIncarnation,
 } from './host_incarnation';
+import {HostSessionOptions} from './host_session_options';
 import {createRecentEntries} from './recent_entries';
 import {createRunOrders} from './run_orders';
-import {TermErrors} from './term_errors';
 
 /**
  * The leader's session with one host: renews the lease on the host's runs,
@@ -85,65 +83,6 @@
   dispose(): void;
 }
 
-/** Dependencies and settings of a host session. */
-export interface HostSessionOptions {
-  readonly host: TaskHost;
-  readonly hosts: TaskHosts;
-  readonly fence: number;
-  /** Length of the lease on the host's runs, in ms. */
-  readonly leaseMs: number;
-  /** Maximum remaining time of leases granted by earlier leaders, in ms. */
-  readonly earlierLeaseMs: number;
-  /** Maximum length of a lease that hosts accept, in ms. */
-  readonly maxLeaseMs: number;
-  /** Maximum time that a host takes to stop a run, in ms. */
-  readonly stopMs: number;
-  /**
-   * Returns whether leases may be extended: the store has confirmed the term
-   * recently enough.
-   */
-  readonly mayExtend: () => boolean;
-  /** Counts the runs that the host may execute. */
-  readonly usage: OrganisationUsage;
-  readonly log: Log;
-  readonly errors: TermErrors;
-  /**
-   * Called when the host has confirmed that a run started; may be called
-   * repeatedly for the same run.
-   */
-  readonly onBegun: (task: TaskRecord) => void;
-  /** Called when the host has accepted or refused to start a task. */
-  readonly onStartAnswered: (task: TaskRecord, accepted: boolean) => void;
-  /**
-   * Called when a run has ended; `acknowledge` must be called once the result
-   * is stored.
-   */
-  readonly onEnd: (
-    task: TaskRecord,
-    end: TaskEnd,
-    acknowledge: () => void,
-  ) => void;
-  /**
-   * Called when the host reports the end of a run that is not placed on it;
-   * `acknowledge` must be called once the result is stored.
-   */
-  readonly onUnplacedEnd: (end: TaskEnd, acknowledge: () => void) => void;
-  /**
-   * Called when a run was never started, or has certainly stopped without
-   * reporting an end.
-   */
-  readonly onLost: (task: TaskRecord, cause: string) => void;
-  /**
-   * Called when the host has crashed, with the tasks that were placed on it,
-   * before their runs are dropped.
-   */
-  readonly onCrash: (tasks: readonly TaskRecord[]) => void;
-  /** Called when the host's room or the state of its runs has changed. */
-  readonly onUpdate: () => void;
-  /** Called when the host has accepted the fencing token of a later leader. */
-  readonly onFenced: () => void;
-}
-
 /**
  * Maximum wait of a hold call while only long-running tasks run, in ms; leaves
  * time for three attempts within the lease.
@@ -210,7 +149,7 @@
   const tasks = new Map<string, TaskRecord>();
   const strayStopsAllowedAt = createRecentEntries<number>(MAX_STRAY_RUNS);
   const abort = new AbortController();
-  let room = createRoom(host, []);
+  let room = createHostRoom(host, []);
   let registered = true;
   let gone = false;
   let cordoned = false;
@@ -636,7 +575,7 @@
       }
       host = next;
       updateAddress();
-      room = createRoom(next, tasks.values());
+      room = createHostRoom(next, tasks.values());
       startHolding();
     },
     isUsable: () =>
@@ -708,20 +647,3 @@
   if (!placement.confirmed) placement.confirmedAt = performance.now();
   placement.confirmed = true;
 }
-
-function createRoom(host: TaskHost, tasks: Iterable<TaskRecord>): HostRoom {
-  const room: HostRoom = {
-    host,
-    free: {...host.capacity},
-    groups: new Map(),
-    starting: new Set(),
-    serving: 0,
-    filling: 0,
-    degraded: false,
-  };
-  for (const task of tasks) {
-    reserveRoom(room, task.step, task.group);
-    if (!task.placement?.listed) room.starting.add(task);
-  }
-  return room;
-}
--- a/src/decisions/workflows/host_room.ts
+++ b/src/decisions/workflows/host_room.ts
@@ -24,6 +24,27 @@
   degraded: boolean;
 }
 
+/** Creates the room of a host on which tasks are placed. */
+export function createHostRoom(
+  host: TaskHost,
+  tasks: Iterable<TaskRecord>,
+): HostRoom {
+  const room: HostRoom = {
+    host,
+    free: {...host.capacity},
+    groups: new Map(),
+    starting: new Set(),
+    serving: 0,
+    filling: 0,
+    degraded: false,
+  };
+  for (const task of tasks) {
+    reserveRoom(room, task.step, task.group);
+    if (!task.placement?.listed) room.starting.add(task);
+  }
+  return room;
+}
+
 /**
  * Returns the capacity that a task reserves on a host; filler tasks reserve no
  * processors.
