Soak: hosts restart under their ids while the store is faulty

Change: four hosts restart under their ids during each fault of the store. The stand-in breaks connections to a host that is down.

--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -34,6 +34,8 @@
 const MAX_AMOUNT = 10_000;
 const PORTS = [CALLER_PORT, READY_PORT, METRICS_PORT];
 const HOST_RESTART_MS = 1_000;
+/** Part of its duration for which a host that restarts under its id is down. */
+const RESTART_PAUSE_DIVISOR = 4;
 /** Maximum machines of a wave that are down at once. */
 const WAVE_CAP = 2;
 
@@ -179,12 +181,16 @@
     return `machine-${(target % count) + 1}`;
   }
 
-  async function crashHost(machine: string, pauseMs: number): Promise<void> {
+  async function crashHost(
+    machine: string,
+    pauseMs: number,
+    start: (machine: string) => void,
+  ): Promise<void> {
     if (!fleet.getHost(machine)) return;
     fleet.crash(machine, false);
     await delay(pauseMs);
     const isDown = fleet.machines.get(machine)?.state === MachineState.Down;
-    if (isDown) fleet.boot(machine);
+    if (isDown) start(machine);
   }
 
   async function drainHost(fault: Fault): Promise<void> {
@@ -193,7 +199,7 @@
     fleet.announceDraining(machine);
     await delay(BOUNDS.drainMs + fault.forMs);
     if (host && fleet.getHost(machine) === host) {
-      await crashHost(machine, HOST_RESTART_MS);
+      await crashHost(machine, HOST_RESTART_MS, fleet.boot);
     }
   }
 
@@ -244,7 +250,13 @@
       case FaultKind.RevokedLease:
         return keyValue.revokeLease(keyValue.get(LEADER_KEY)?.leaseId ?? '');
       case FaultKind.HostCrash:
-        return crashHost(pickMachine(fault), fault.forMs);
+        return crashHost(pickMachine(fault), fault.forMs, fleet.boot);
+      case FaultKind.HostRestart:
+        return crashHost(
+          pickMachine(fault),
+          fault.forMs / RESTART_PAUSE_DIVISOR,
+          fleet.restart,
+        );
       case FaultKind.HostDrain:
         return drainHost(fault);
       case FaultKind.HostHang:
--- a/bench/soak/fault.ts
+++ b/bench/soak/fault.ts
@@ -34,6 +34,8 @@
   ForeignEntries = 'foreign-entries',
   // Of a host.
   HostCrash = 'host-crash',
+  /** A host crashes and starts again under its id. */
+  HostRestart = 'host-restart',
   HostDrain = 'host-drain',
   HostHang = 'host-hang',
   HostErrors = 'host-errors',
--- a/bench/soak/plan_faults.ts
+++ b/bench/soak/plan_faults.ts
@@ -46,6 +46,8 @@
 /** Links whose far end answers with other bytes. */
 const ANSWERING_LINKS = [LinkKind.Hosts, LinkKind.Machines, LinkKind.Store];
 const LINKS = Object.values(LinkKind);
+/** Number of hosts that restart during a fault of the store. */
+const RESTARTS = 4;
 const FIRST_AT_MS = 1_500;
 /** Duration of a storm, in which faults overlap. */
 const STORM_MS = 5_000;
@@ -90,7 +92,27 @@
     const endMs = Math.max(...faults.map(fault => fault.atMs + fault.forMs));
     atMs = endMs + BOUNDS.contactMs + random.between(500, 3_000);
   }
-  return faults.sort((a, b) => a.atMs - b.atMs);
+  const restarts = drawRestarts(random, faults);
+  return [...faults, ...restarts].sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Draws hosts that restart while the store can't confirm their ends. */
+function drawRestarts(
+  random: Random,
+  faults: readonly Fault[],
+): readonly Fault[] {
+  const outages = faults.filter(
+    ({kind, link}) =>
+      link === LinkKind.Store ||
+      kind === FaultKind.SlowStore ||
+      kind === FaultKind.TurnedAway,
+  );
+  return outages.flatMap(({atMs, forMs}) =>
+    Array.from({length: RESTARTS}, () => {
+      const restartMs = atMs + random.between(0, forMs);
+      return drawFault(random, FaultKind.HostRestart, restartMs);
+    }),
+  );
 }
 
 /** Draws a list of planned work that leaves time for all checks. */
--- a/src/stand_ins/external_platform/host_api.ts
+++ b/src/stand_ins/external_platform/host_api.ts
@@ -18,11 +18,14 @@
   [HostRefusal.Malformed]: 'malformed',
 };
 
+const NOBODY_LISTENS = 'nobody listens at the address';
+
 /**
  * Creates the handler of one host's HTTP API, backed by the stand-in fleet.
  *
  * @param hosts calls to the hosts of the fleet
- * @param getHost returns the host that is currently at the address
+ * @param getHost returns the host that is currently at the address; undefined
+ *     if it is down, so that connections break
  */
 export function createHostApi(
   hosts: TaskHosts,
@@ -30,9 +33,8 @@
 ) {
   return async ({path, headers, body}: JsonCall): Promise<JsonAnswer> => {
     const host = getHost();
-    if (!host || headers['x-expect-instance'] !== host.id) {
-      return {status: 421};
-    }
+    if (!host) throw new Error(NOBODY_LISTENS);
+    if (headers['x-expect-instance'] !== host.id) return {status: 421};
     const order = {
       task: String(body.task),
       run: Number(body.run),
@@ -73,13 +75,20 @@
   };
 }
 
-/** Answers a call; a call whose answer is lost stays open. */
+/**
+ * Answers a call; a call whose answer is lost stays open.
+ *
+ * @throws Error that breaks the connection if the host is down
+ */
 function send<T>(
   result: Result<T, HostCallFailure>,
   write: (value: T) => JsonAnswer,
 ): JsonAnswer | Promise<JsonAnswer> {
   if (result.isOk) return write(result.value);
   if (result.error === HostCallFailure.Replaced) return {status: 421};
+  if (result.error === HostCallFailure.Unreachable) {
+    throw new Error(NOBODY_LISTENS);
+  }
   return new Promise(() => {});
 }
 
