Count a crash only against tasks that were started before it

Cause: the second of these hosts was down when the task was placed on it. The repeated start order reached its next life, which ran the task; the report that told of the restart then counted the task, placed under the earlier life and confirmed by the new one, as the only one that the crashed host had been starting.

Change: runs that the report of the new incarnation lists, running or ended, have not crashed the one before.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -72,6 +72,21 @@
     Then all are "completed" within 14 s
     And the run history has no violations
 
+  # Guards against a task that is given up for the crash of a host on which it was
+  # started only after the crash.
+  @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: The start of a task reaches a host that has just restarted
+    Given 3 entry hosts and 1 hosts for workflows
+    When a workflow of 1 tasks of 3000 ms is submitted
+    And 50 ms pass
+    And the host with the most runs crashes and is back under its id after 30 ms
+    And it crashes just before the next start, no longer answers and is back after 900 ms
+    And 100 of 100 hold calls to hosts are not answered
+    And 250 ms pass
+    And 0 of 100 hold calls to hosts are not answered
+    Then it is "completed" within 8 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
-import {advance, seedRandom} from '../support/paused_clock';
+import {advance, advanceUntil, seedRandom} from '../support/paused_clock';
 import {IncarnationReport, playIncarnations} from './incarnation_histories';
 import {findBusiestMachine, getWorld} from './running.steps';
 
@@ -22,6 +22,23 @@
   (pauseMs: number) => restart(pauseMs, false),
 );
 
+When(
+  'it crashes just before the next start, no longer answers and is back after {int} ms',
+  async (pauseMs: number) => {
+    const {fleet, members} = getWorld();
+    const isDown = () => fleet.getHost(restarted) === undefined;
+    for (const {callFaults} of members) {
+      callFaults.onCall = call => {
+        if (call === 'start' && !isDown()) fleet.crash(restarted, true);
+      };
+    }
+    await advanceUntil(isDown, 5_000, 1);
+    for (const {callFaults} of members) callFaults.onCall = () => {};
+    await advance(pauseMs);
+    fleet.restart(restarted);
+  },
+);
+
 When('late orders reach a host that has restarted meanwhile', () => {
   getWorld().fleet.faults.ordersOutliveHosts = true;
 });
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -305,7 +305,7 @@
       return false;
     }
     const report = answer.value;
-    identify(report.bornAt, calledAddress.address);
+    identify(report, calledAddress.address);
     recordAnswer(report, incarnation);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
@@ -409,7 +409,7 @@
   }
 
   function stopStray(task: string, run: number): void {
-    const key = `${task}/${run}`;
+    const key = getRunKey(task, run);
     const now = performance.now();
     if (now < (strayStopsAllowedAt.get(key) ?? 0)) return;
     strayStopsAllowedAt.set(key, now + STRAY_STOP_INTERVAL_MS);
@@ -421,13 +421,14 @@
    * Notes which incarnation has answered, and where; `bornAt` is 0 if it has
    * not told.
    */
-  function identify(bornAt: number, answeredFrom: string): void {
+  function identify(report: HoldReport, answeredFrom: string): void {
+    const {bornAt} = report;
     if (bornAt === 0 || bornAt === incarnation.bornAt) {
       incarnation.address = answeredFrom;
     } else if (incarnation.bornAt === 0) {
       incarnation.bornAt = bornAt;
       incarnation.address = answeredFrom;
-    } else handleRestart(bornAt, answeredFrom);
+    } else handleRestart(report, answeredFrom);
   }
 
   /**
@@ -435,14 +436,25 @@
    * longer lists are dropped by `dropAbsent`; recently ordered runs may already
    * belong to the new incarnation.
    */
-  function handleRestart(bornAt: number, answeredFrom: string): void {
+  function handleRestart(report: HoldReport, answeredFrom: string): void {
+    const {bornAt} = report;
     log.warn('host restarted', {
       host: host.id,
       bornAt,
       earlierBornAt: incarnation.bornAt,
       unstoredEnds: incarnation.runEnds.countUnstored(),
     });
-    reportCrash(task => task.placement?.bornAt !== bornAt);
+    // A run that the new incarnation lists was started after the crash.
+    const startedSince = new Set(
+      [...report.running, ...report.ended].map(({task, run}) =>
+        getRunKey(task, run),
+      ),
+    );
+    reportCrash(
+      ({name, placement}) =>
+        placement?.bornAt !== bornAt &&
+        !startedSince.has(getRunKey(name, placement?.run ?? 0)),
+    );
     incarnation = createNextIncarnation(bornAt, answeredFrom, maxLeaseMs);
   }
 
@@ -643,6 +655,10 @@
   };
 }
 
+function getRunKey(task: string, run: number): string {
+  return `${task}/${run}`;
+}
+
 function confirm(placement: Placement): void {
   if (!placement.confirmed) placement.confirmedAt = performance.now();
   placement.confirmed = true;
