--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -239,7 +239,9 @@
     if (isOrder && random() < faults.delayedOrders.share) {
       setTimeout(() => {
         const late = faults.ordersOutliveHosts ? hosts.get(id) : host;
-        if (late && !endedHosts.has(late)) void effect(late);
+        if (!late || endedHosts.has(late)) return;
+        // A host that can't read a late order has nobody to tell.
+        void (async () => effect(late))().catch(() => {});
       }, faults.delayedOrders.afterMs);
       return timeOut();
     }
