Report a pool's drain time by its hosts while none can be used

Cause: the drain time is the work of a pool divided by the processors of its usable hosts, at least one thousandth of one. For a moment in which no host could be used, all work was divided by that.

Change: while no host of a pool can be used and no machine could join it, the processors of all its hosts that aren't known to be gone count, as most of them come back.

--- a/features/workflows/host_health.feature
+++ b/features/workflows/host_health.feature
@@ -29,3 +29,13 @@
     Then the host is "doubtful"
     When a run succeeds there
     Then the host is "sound"
+
+  # Guards against callers that are told to come back in hours because no host
+  # answers for a moment.
+  @promise-not-run @failure-partition
+  Scenario: A pool whose hosts are all silent for a moment keeps its drain time
+    Given 3 entry hosts and 2 hosts for workflows
+    When a workflow of 32 tasks of 2000 ms is submitted
+    And every host stops answering but keeps running
+    And 3 s pass
+    Then the leader reports a drain time of 10 s at most
--- a/features/workflows/host_health.steps.ts
+++ b/features/workflows/host_health.steps.ts
@@ -3,11 +3,14 @@
 import {
   HostHealth,
   HostStatus,
+  LoadReport,
   createHostHealth,
 } from '../../src/decisions/workflows';
 import {FleetEventKind} from '../../src/stand_ins/fleet';
 import {TaskEndKind} from '../../src/types/workflow';
+import {LOAD_KEY} from '../../src/actors/workflows';
 import {getWorld} from './running.steps';
+import {POOL} from './workflow_world';
 
 const HOST = 'host-1';
 
@@ -53,3 +56,11 @@
 Then('the host is {string}', (trust: HostStatus) => {
   assert.equal(health.getStatus(HOST, now), trust);
 });
+
+Then('the leader reports a drain time of {int} s at most', (limitS: number) => {
+  const entry = getWorld().keyValue.get(LOAD_KEY);
+  assert.ok(entry);
+  const {pools} = JSON.parse(entry.value) as LoadReport;
+  const {drainMs} = pools[POOL];
+  assert.ok(drainMs > 0 && drainMs <= limitS * 1_000, `${drainMs} ms`);
+});
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -529,14 +529,18 @@
 
   /**
    * Returns the CPU that a pool has, or could have with machines of other
-   * pools, in thousandths of a processor.
+   * pools, in thousandths of a processor. While no host can be used, that of all
+   * its hosts, as most of them come back.
    */
   function getPoolCpuMillis(pool: string): number {
-    let own = 0;
-    for (const session of sessions.listUsable(pool)) {
-      own += session.room.host.capacity.cpuMillis;
-    }
-    return Math.max(own, poolCpuMillis.get(pool) ?? 0);
+    const usable = sumCpuMillis(sessions.listUsable(pool));
+    const cpuMillis = Math.max(usable, poolCpuMillis.get(pool) ?? 0);
+    if (cpuMillis > 0) return cpuMillis;
+    return sumCpuMillis(
+      [...sessions.all.values()].filter(
+        session => session.room.host.pool === pool && !session.isGone(),
+      ),
+    );
   }
 
   async function publishLoad(report: LoadReport): Promise<boolean> {
@@ -575,3 +579,10 @@
     },
   };
 }
+
+function sumCpuMillis(sessions: readonly HostSession[]): number {
+  return sessions.reduce(
+    (sum, {room}) => sum + room.host.capacity.cpuMillis,
+    0,
+  );
+}
