Tell a host's restart by its clock and the numbers of its ends too

What callers saw: a worker that starts again under its id and gives the birth that it had before, or none, isn't known to have restarted. The ends of its new life are dropped as duplicates of those before, or acknowledged unread: a task that is done is started again and again, its workflow is not completed.

Cause: an incarnation was told by its birth alone.

Change: a report is that of a later incarnation also if its clock shows less than a value that was known before the call was sent (the clock of one life never goes back, and an answer that was overtaken was sent before), or if it lists an end that was acknowledged, or another end under a known number. "host restarted" tells which of these showed it. A crash then counts against the tasks that the report doesn't list, as with a new birth.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -21,6 +21,29 @@
     Then all are "completed" within 12 s
     And the run history has no violations
 
+  # Guards against a restart that goes unnoticed because the host tells the birth
+  # that it had before, or none: its ends are then dropped as duplicates.
+  @promise-long-work @failure-crash @failure-store-down
+  Scenario Outline: A host restarts with <birth> birth while the store is down
+    Given 3 entry hosts and 2 hosts for workflows
+    When 10 workflows of 6 tasks are submitted
+    Then all are "completed" within 12 s
+    When a workflow of 8 tasks of 1000 ms is submitted
+    And a workflow of 6 tasks of 4000 ms is submitted
+    And 900 ms pass
+    And every call to the store takes 800 ms
+    And 150 ms pass
+    And the host with the most runs crashes and is back after 200 ms with <birth> birth
+    And 1 s pass
+    And every call to the store takes 0 ms
+    Then all are "completed" within 12 s
+    And the run history has no violations
+
+    Examples:
+      | birth    |
+      | the same |
+      | no       |
+
   # Guards against ends that a restarted host forgets unread because they are
   # acknowledged by the numbers of its earlier ends.
   @promise-long-work @failure-crash @failure-lost-answer
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -8,18 +8,33 @@
 
 let restarted = '';
 
-async function restart(pauseMs: number, moved: boolean): Promise<void> {
+enum Birth {
+  Its = 'its',
+  TheSame = 'the same',
+  No = 'no',
+}
+
+async function restart(pauseMs: number, birth = Birth.Its): Promise<void> {
   const machine = findBusiestMachine();
   const {fleet} = getWorld();
+  const births = new Map([
+    [Birth.TheSame, fleet.getHost(machine)?.host.bornAt],
+    [Birth.No, 0],
+  ]);
   restarted = machine;
   fleet.crash(machine, false);
   await advance(pauseMs);
-  fleet.restart(machine, moved);
+  fleet.restart(machine, false, births.get(birth));
 }
 
 When(
   'the host with the most runs crashes and is back under its id after {int} ms',
-  (pauseMs: number) => restart(pauseMs, false),
+  (pauseMs: number) => restart(pauseMs),
+);
+
+When(
+  /^the host with the most runs crashes and is back after (\d+) ms with (the same|no) birth$/,
+  (pauseMs: string, birth: Birth) => restart(Number(pauseMs), birth),
 );
 
 When(
--- a/features/workflows/incarnation_histories.ts
+++ b/features/workflows/incarnation_histories.ts
@@ -27,6 +27,12 @@
   Move = 'move',
   /** The same, with a wall clock that was set back. */
   RestartEarlier = 'restart-earlier',
+  /** The same, with the birth that it had before. */
+  RestartSame = 'restart-same',
+  /** The same, without telling its birth. */
+  RestartUntold = 'restart-untold',
+  /** A host crashes and is back at once, and work arrives. */
+  RestartAtOnce = 'restart-at-once',
   /** A host does not answer. */
   Silence = 'silence',
   SlowStore = 'slow-store',
@@ -149,6 +155,17 @@
     case ActionKind.Move:
       await restart(world, machine, downMs, kind === ActionKind.Move);
       break;
+    case ActionKind.RestartSame: {
+      const bornAt = fleet.getHost(machine)?.host.bornAt;
+      await restart(world, machine, downMs, false, bornAt);
+      break;
+    }
+    case ActionKind.RestartUntold:
+      await restart(world, machine, downMs, false, 0);
+      break;
+    case ActionKind.RestartAtOnce:
+      await restart(world, machine, downMs / 50, false);
+      return submit(world, taskCount, workMs / 10);
     case ActionKind.Silence:
       fleet.faults.silent.add(fleet.getHost(machine)?.host.id ?? '');
       break;
@@ -186,11 +203,12 @@
   machine: string,
   downMs: number,
   moved: boolean,
+  bornAt?: number,
 ): Promise<void> {
   if (!fleet.getHost(machine)) return;
   fleet.crash(machine, false);
   await advance(downMs);
-  fleet.restart(machine, moved);
+  fleet.restart(machine, moved, bornAt);
 }
 
 function heal({fleet, members}: WorkflowWorld): void {
--- a/src/actors/workflows/host_clock.ts
+++ b/src/actors/workflows/host_clock.ts
@@ -8,6 +8,14 @@
    * ignored.
    */
   observe(clockMs: number | undefined): void;
+  /**
+   * Returns whether a value can be one of this clock; false if the clock had a
+   * higher one before the call that reports it. An answer that another one has
+   * overtaken may have a lower value.
+   *
+   * @param sentAt monotonic time of the call in ms
+   */
+  canReport(clockMs: number | undefined, sentAt: number): boolean;
   /**
    * Returns the estimated current value of the host's clock in ms, assuming
    * that it is not slow; undefined if the host has not reported it.
@@ -66,6 +74,10 @@
       reportedMs = clockMs;
       reportedAt = performance.now();
     },
+    canReport(clockMs, sentAt) {
+      if (clockMs === undefined || reportedMs === undefined) return true;
+      return clockMs >= reportedMs || sentAt <= reportedAt;
+    },
     estimate: () =>
       reportedMs === undefined
         ? undefined
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -23,6 +23,8 @@
 } from './host_incarnation';
 import {HostSessionOptions} from './host_session_options';
 import {createRecentEntries} from './recent_entries';
+import {RestartEvidence, findRestart} from './restart_evidence';
+import {getRunKey} from './run_key';
 import {createRunOrders} from './run_orders';
 
 /**
@@ -305,8 +307,7 @@
       return false;
     }
     const report = answer.value;
-    identify(report, calledAddress.address);
-    recordAnswer(report, incarnation);
+    identify(report, calledAddress.address, seenEnd, sentAt);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
       return false;
@@ -375,7 +376,7 @@
 
   function handleEnd(end: TaskEnd, present: Set<string>): void {
     const {runEnds} = incarnation;
-    if (!runEnds.accept(end.number)) return;
+    if (!runEnds.accept(end)) return;
     const acknowledge = () => {
       runEnds.markStored(end.number);
       wake?.();
@@ -417,18 +418,18 @@
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
-  /**
-   * Notes which incarnation has answered, and where; `bornAt` is 0 if it has
-   * not told.
-   */
-  function identify(report: HoldReport, answeredFrom: string): void {
-    const {bornAt} = report;
-    if (bornAt === 0 || bornAt === incarnation.bornAt) {
-      incarnation.address = answeredFrom;
-    } else if (incarnation.bornAt === 0) {
-      incarnation.bornAt = bornAt;
-      incarnation.address = answeredFrom;
-    } else handleRestart(report, answeredFrom);
+  /** Notes which incarnation has answered, and where. */
+  function identify(
+    report: HoldReport,
+    answeredFrom: string,
+    seenEnd: number,
+    sentAt: number,
+  ): void {
+    const evidence = findRestart(incarnation, report, seenEnd, sentAt);
+    if (evidence) handleRestart(report, answeredFrom, evidence);
+    incarnation.bornAt ||= report.bornAt;
+    incarnation.address = answeredFrom;
+    recordAnswer(report, incarnation);
   }
 
   /**
@@ -436,10 +437,15 @@
    * longer lists are dropped by `dropAbsent`; recently ordered runs may already
    * belong to the new incarnation.
    */
-  function handleRestart(report: HoldReport, answeredFrom: string): void {
+  function handleRestart(
+    report: HoldReport,
+    answeredFrom: string,
+    evidence: RestartEvidence,
+  ): void {
     const {bornAt} = report;
     log.warn('host restarted', {
       host: host.id,
+      evidence,
       bornAt,
       earlierBornAt: incarnation.bornAt,
       unstoredEnds: incarnation.runEnds.countUnstored(),
@@ -450,11 +456,11 @@
         getRunKey(task, run),
       ),
     );
-    reportCrash(
-      ({name, placement}) =>
-        placement?.bornAt !== bornAt &&
-        !startedSince.has(getRunKey(name, placement?.run ?? 0)),
-    );
+    const isNewBirth = bornAt !== incarnation.bornAt;
+    reportCrash(({name, placement}) => {
+      if (isNewBirth && placement?.bornAt === bornAt) return false;
+      return !startedSince.has(getRunKey(name, placement?.run ?? 0));
+    });
     incarnation = createNextIncarnation(bornAt, answeredFrom, maxLeaseMs);
   }
 
@@ -655,10 +661,6 @@
   };
 }
 
-function getRunKey(task: string, run: number): string {
-  return `${task}/${run}`;
-}
-
 function confirm(placement: Placement): void {
   if (!placement.confirmed) placement.confirmedAt = performance.now();
   placement.confirmed = true;
--- a/src/actors/workflows/run_end_tracker.ts
+++ b/src/actors/workflows/run_end_tracker.ts
@@ -1,10 +1,20 @@
+import {TaskEnd} from '../../types/workflow';
+import {getRunKey} from './run_key';
+
 /**
  * Tracks which run ends reported by one host incarnation have been processed,
  * stored and acknowledged.
  */
 export interface RunEndTracker {
+  /**
+   * Returns whether the incarnation can have listed an end: it lists none again
+   * that it knows to be acknowledged, and gives each number to one end.
+   *
+   * @param seenEnd highest end number that the call has acknowledged
+   */
+  canList(end: TaskEnd, seenEnd: number): boolean;
   /** Accepts an end for processing; returns false for a duplicate. */
-  accept(number: number): boolean;
+  accept(end: TaskEnd): boolean;
   /** Records that the changes caused by an end are stored. */
   markStored(number: number): void;
   /**
@@ -23,14 +33,22 @@
  * order.
  */
 export function createRunEndTracker(): RunEndTracker {
+  /** Run of each listed end that is not acknowledged yet, by its number. */
+  const listed = new Map<number, string>();
   const accepted = new Set<number>();
   const stored = new Set<number>();
   let storedUpTo = 0;
   let acknowledged = 0;
 
   return {
-    accept(number) {
+    canList({number, task, run}, seenEnd) {
+      if (number <= Math.max(seenEnd, acknowledged)) return false;
+      const key = getRunKey(task, run);
+      return (listed.get(number) ?? key) === key;
+    },
+    accept({number, task, run}) {
       if (number <= storedUpTo || accepted.has(number)) return false;
+      listed.set(number, getRunKey(task, run));
       accepted.add(number);
       return true;
     },
@@ -53,7 +71,11 @@
     },
     getUnacknowledged: () => (storedUpTo > acknowledged ? storedUpTo : 0),
     markAcknowledged(number) {
-      acknowledged = Math.max(acknowledged, number);
+      if (number <= acknowledged) return;
+      acknowledged = number;
+      for (const each of [...listed.keys()]) {
+        if (each <= acknowledged) listed.delete(each);
+      }
     },
     countUnstored: () => accepted.size,
   };
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -70,8 +70,10 @@
    * knew is gone, and its clock and the numbers of its ends start anew.
    *
    * @param moved whether it has another address
+   * @param bornAt Unix time in ms that it gives as that of its start; the time
+   *     of its start by default
    */
-  restart(machine: string, moved?: boolean): void;
+  restart(machine: string, moved?: boolean, bornAt?: number): void;
   /** Returns the host that currently runs on a machine. */
   getHost(machine: string): TaskHostModel | undefined;
   /**
@@ -174,13 +176,14 @@
     id: string,
     hostId = `host-${hostCount + 1}`,
     address = `address-${id}`,
+    bornAt?: number,
   ): void {
     const machine = machines.get(id);
     if (!machine) return;
     hostCount += 1;
     const host: TaskHost = {
       id: hostId,
-      bornAt: Date.now() + hostCount,
+      bornAt: bornAt ?? Date.now() + hostCount,
       pool: machine.pool,
       address,
       availabilityZone: 'zone-a',
@@ -330,14 +333,14 @@
       endHost(machine);
     },
     boot: machine => boot(machine),
-    restart(machine, moved = false) {
+    restart(machine, moved = false, bornAt = undefined) {
       const hostId = lastHostIds.get(machine);
       const ended = hostId === undefined ? undefined : hosts.get(hostId);
       if (!hostId || !ended) return;
       if (machines.get(machine)?.state !== MachineState.Down) return;
       const {address} = ended.host;
       faults.silent.delete(hostId);
-      boot(machine, hostId, moved ? `${address}'` : address);
+      boot(machine, hostId, moved ? `${address}'` : address, bornAt);
     },
     getHost: machine => hosts.get(machines.get(machine)?.hostId ?? ''),
     createTaskHosts: isPartitioned => ({
