Notice a restart by the answer to an order

What callers saw: a task that is done runs again after its worker has restarted between two hold calls, if no call has failed and the store hasn't announced the new life: it is down, or the worker's wall clock was set back. The next hold call acknowledges, by the numbers of the earlier life, an end that the new life has not listed yet.

Cause: the answer to a start order tells the clock of the life that has carried it out, but only hold reports were compared with what was known.

Change: an order that is answered with a clock that has fallen back ends the known incarnation: until the next report the host gets no leases, tasks or acknowledgements. Still open: the same, if the answer to the order is lost.

--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import {FleetEventKind} from '../../src/stand_ins/fleet';
 import {advance, advanceUntil, seedRandom} from '../support/paused_clock';
 import {IncarnationReport, playIncarnations} from './incarnation_histories';
 import {findBusiestMachine, getWorld} from './running.steps';
@@ -54,6 +55,26 @@
   },
 );
 
+When(
+  'the host restarts at once, with an earlier birth, just before the first start after its next end',
+  () => {
+    const {fleet, members} = getWorld();
+    const machine = findBusiestMachine();
+    const bornAt = fleet.getHost(machine)?.host.bornAt ?? 0;
+    const countEnds = () =>
+      fleet.events.filter(({kind}) => kind === FleetEventKind.End).length;
+    const earlierEnds = countEnds();
+    for (const {callFaults} of members) {
+      callFaults.onCall = call => {
+        if (call !== 'start' || countEnds() === earlierEnds) return;
+        for (const each of members) each.callFaults.onCall = () => {};
+        fleet.crash(machine, false);
+        fleet.restart(machine, false, bornAt - 1);
+      };
+    }
+  },
+);
+
 When('late orders reach a host that has restarted meanwhile', () => {
   getWorld().fleet.faults.ordersOutliveHosts = true;
 });
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -19,6 +19,11 @@
    * announced since.
    */
   reached: boolean;
+  /**
+   * Whether an answer to an order has shown that the host has restarted since;
+   * the next report is that of a later incarnation.
+   */
+  isOver: boolean;
   readonly clock: HostClock;
   readonly runEnds: RunEndTracker;
 }
@@ -61,5 +66,13 @@
   clock: HostClock,
 ): HostIncarnation {
   const runEnds = createRunEndTracker();
-  return {bornAt, address, reportedAt: 0, reached: false, clock, runEnds};
+  return {
+    bornAt,
+    address,
+    reportedAt: 0,
+    reached: false,
+    isOver: false,
+    clock,
+    runEnds,
+  };
 }
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -175,7 +175,7 @@
     isCurrent,
     getIncarnation: () => incarnation,
     nextLease,
-    onAnswer: recordAnswer,
+    onAnswer: handleOrderAnswer,
     onFailure: handleFailure,
     onSettled: handleSettled,
     onStarted(task) {
@@ -469,6 +469,24 @@
     clock.observe(clockMs);
   }
 
+  /**
+   * An order may be answered by a later incarnation than the one that was
+   * called. Until that has reported, it gets no tasks, leases or
+   * acknowledgements.
+   */
+  function handleOrderAnswer(
+    answer: HostAnswer,
+    called: HostIncarnation,
+    sentAt: number,
+  ): void {
+    if (called.clock.canReport(answer.clockMs, sentAt)) {
+      return recordAnswer(answer, called);
+    }
+    called.isOver = true;
+    called.reached = false;
+    startHolding();
+  }
+
   function handleFailure(
     call: string,
     failure: HostCallFailure,
--- a/src/actors/workflows/restart_evidence.ts
+++ b/src/actors/workflows/restart_evidence.ts
@@ -22,14 +22,14 @@
  * @param sentAt monotonic time of the call in ms
  */
 export function findRestart(
-  {bornAt: knownBirth, clock, runEnds}: HostIncarnation,
+  {bornAt: knownBirth, clock, runEnds, isOver}: HostIncarnation,
   {bornAt, clockMs, ended}: HoldReport,
   seenEnd: number,
   sentAt: number,
 ): RestartEvidence | undefined {
   const isTold = bornAt !== 0 && knownBirth !== 0;
   if (isTold && bornAt !== knownBirth) return RestartEvidence.Birth;
-  if (!clock.canReport(clockMs, sentAt)) return RestartEvidence.Clock;
+  if (isOver || !clock.canReport(clockMs, sentAt)) return RestartEvidence.Clock;
   const canList = ended.every(end => runEnds.canList(end, seenEnd));
   return canList ? undefined : RestartEvidence.Ends;
 }
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -44,8 +44,15 @@
    * lease expires; undefined while leases may not be extended.
    */
   readonly nextLease: () => number | undefined;
-  /** Called when the host has answered an order to one of its incarnations. */
-  readonly onAnswer: (answer: HostAnswer, incarnation: HostIncarnation) => void;
+  /**
+   * Called when the host has answered an order to one of its incarnations.
+   * `sentAt` is the monotonic time of the call in ms.
+   */
+  readonly onAnswer: (
+    answer: HostAnswer,
+    incarnation: HostIncarnation,
+    sentAt: number,
+  ) => void;
   /**
    * Called when a call got no answer from the intended host incarnation.
    * `sentAt` is the monotonic time of the call in ms.
@@ -118,7 +125,7 @@
       });
       if (!isCurrent(task, placement)) return;
       if (answer.isOk) {
-        onAnswer(answer.value, incarnation);
+        onAnswer(answer.value, incarnation, sentAt);
         const {refusal} = answer.value;
         if (refusal === HostRefusal.Fenced) return onFenced();
         if (refusal === undefined || refusal === HostRefusal.OldRun) {
@@ -164,7 +171,7 @@
       });
       if (!isCurrent(task, placement)) return;
       if (answer.isOk) {
-        onAnswer(answer.value, incarnation);
+        onAnswer(answer.value, incarnation, sentAt);
         if (answer.value.refusal === HostRefusal.Fenced) return onFenced();
         placement.stoppedAt = performance.now();
         return onSettled(placement);
