--- a/features/workflows/crashing_tasks.feature
+++ b/features/workflows/crashing_tasks.feature
@@ -41,6 +41,18 @@
     And each host crashes 5 times, once every 5 s
     Then it is "running" within 1 s
 
+  # Guards against lasting tasks that are given up, and stopped on all other hosts,
+  # because one host crashes just after its starts of one of them.
+  @promise-long-work @failure-crash
+  Scenario: A host crashes again and again while it starts a task that lasts
+    Given 3 entry hosts and 8 hosts for workflows
+    When a workflow of 8 tasks that last for good is submitted
+    And 4 s pass
+    And one host crashes 5 times, each time 200 ms after it has started a task again
+    And 4 s pass
+    Then it is "running" within 1 s
+    And no run has been stopped
+
   # Guards against a task that is never suspected because its host crashes before it acknowledges the start.
   Scenario: A host crashes before it has acknowledged all starts
     Given a host that has acknowledged the start of 1 of 2 tasks
--- a/features/workflows/crashing_tasks.steps.ts
+++ b/features/workflows/crashing_tasks.steps.ts
@@ -10,12 +10,15 @@
   recordCrash,
 } from '../../src/decisions/workflows';
 import {FleetEventKind} from '../../src/stand_ins/fleet';
-import {advance} from '../support/paused_clock';
+import {TaskEndKind} from '../../src/types/workflow';
+import {advance, advanceUntil} from '../support/paused_clock';
 import {getSubmitted, getWorld} from './running.steps';
 import {QUEUE, createSpec, createStep} from './workflow_world';
 
 /** Time in ms from the crash of a host to the start of the next one. */
 const RESTART_MS = 2_000;
+/** The same for a host that starts again under its id. */
+const SHORT_RESTART_MS = 500;
 
 /** Ids of the workflows whose tasks crash their hosts. */
 let crashingIds: ReadonlySet<string> = new Set();
@@ -92,6 +95,29 @@
   },
 );
 
+When(
+  'one host crashes {int} times, each time {int} ms after it has started a task again',
+  async (times: number, delayMs: number) => {
+    const {fleet} = getWorld();
+    const [machine] = fleet.machines.keys();
+    const isRunning = () => fleet.getHost(machine)?.listRuns().length === 1;
+    for (let crash = 0; crash < times; crash += 1) {
+      fleet.crash(machine, false);
+      await advance(SHORT_RESTART_MS);
+      fleet.restart(machine);
+      await advanceUntil(isRunning, 8_000);
+      await advance(delayMs);
+    }
+  },
+);
+
+Then('no run has been stopped', () => {
+  const stopped = getWorld().fleet.events.filter(
+    ({how}) => how === TaskEndKind.Stopped,
+  );
+  assert.deepEqual(stopped, []);
+});
+
 Then('it has crashed at most {int} hosts', (limit: number) => {
   const [id] = crashingIds;
   const crashes = countRuns(id);
