Acknowledge ends only over the connection of their report

Cause: the number of an end means something to one life of a host only, but the call that acknowledges it went over whichever connection was free or could be opened, and so to whichever life answered.

Change: hold calls have a connection of their own, and name ends only if its socket is the one that has delivered the last report; a restart closes it.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -67,16 +67,16 @@
     And the run history has no violations
 
   # Guards against ends of a restarted host that are acknowledged unread: it has
-  # run a task before the next report, and no call has failed.
-  @promise-long-work @failure-crash @failure-store-slow
-  Scenario: A host restarts between two reports and starts a task
+  # run a task before the next report, and no hold call has failed.
+  @promise-long-work @failure-crash @failure-store-slow @failure-lost-answer
+  Scenario Outline: A host restarts between two reports, and the answer to its first start <outcome>
     Given 3 entry hosts and 1 hosts for workflows
     When 10 workflows of 6 tasks are submitted
     Then all are "completed" within 12 s
     When a workflow of 1 tasks of 1550 ms is submitted
     And 50 ms pass
     And every call to the store takes 300 ms
-    And the host restarts at once, with an earlier birth, just before the first start after its next end
+    And the host restarts at once, with an earlier birth, just before the first start after its next end, whose answer <outcome>
     And a workflow of 1 tasks of 20 ms is submitted
     And a workflow of 1 tasks of 20 ms is submitted
     And a workflow of 1 tasks of 20 ms is submitted
@@ -86,6 +86,11 @@
     Then all are "completed" within 12 s
     And the run history has no violations
 
+    Examples:
+      | outcome |
+      | arrives |
+      | is lost |
+
   # Guards against tasks that wait for a lease on the clock of an earlier
   # incarnation of their host.
   @promise-long-work @failure-crash
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -9,6 +9,9 @@
 
 let restarted = '';
 
+/** Time in ms that covers a call and its answer. */
+const LOST_ANSWER_MS = 10;
+
 enum Birth {
   Its = 'its',
   TheSame = 'the same',
@@ -56,8 +59,8 @@
 );
 
 When(
-  'the host restarts at once, with an earlier birth, just before the first start after its next end',
-  () => {
+  /^the host restarts at once, with an earlier birth, just before the first start after its next end, whose answer (arrives|is lost)$/,
+  (outcome: string) => {
     const {fleet, members} = getWorld();
     const machine = findBusiestMachine();
     const bornAt = fleet.getHost(machine)?.host.bornAt ?? 0;
@@ -70,11 +73,20 @@
         for (const each of members) each.callFaults.onCall = () => {};
         fleet.crash(machine, false);
         fleet.restart(machine, false, bornAt - 1);
+        if (outcome === 'is lost') loseNextAnswer();
       };
     }
   },
 );
 
+function loseNextAnswer(): void {
+  const {faults} = getWorld().fleet;
+  faults.lostAnswers = 1;
+  setTimeout(() => {
+    faults.lostAnswers = 0;
+  }, LOST_ANSWER_MS);
+}
+
 When('late orders reach a host that has restarted meanwhile', () => {
   getWorld().fleet.faults.ordersOutliveHosts = true;
 });
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -10,6 +10,8 @@
 export interface HostIncarnation {
   /** Unix time in ms at which it started; 0 until it is known. */
   bornAt: number;
+  /** Connection over which it has reported last; 0 before. */
+  connection: number;
   /** Address at which it has reported, or was registered at first. */
   address: string;
   /** Monotonic time in ms of its first report in this term; 0 before. */
@@ -68,6 +70,7 @@
   const runEnds = createRunEndTracker();
   return {
     bornAt,
+    connection: 0,
     address,
     reportedAt: 0,
     reached: false,
