--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -193,6 +193,16 @@
     if (isDown) start(machine);
   }
 
+  /** The host gives its own birth, the same as before, or none. */
+  function restartHost(fault: Fault): Promise<void> {
+    const machine = pickMachine(fault);
+    const births = [undefined, fleet.getHost(machine)?.host.bornAt, 0];
+    const bornAt = births[fault.amount % births.length];
+    return crashHost(machine, fault.forMs / RESTART_PAUSE_DIVISOR, () =>
+      fleet.restart(machine, false, bornAt),
+    );
+  }
+
   async function drainHost(fault: Fault): Promise<void> {
     const machine = pickMachine(fault);
     const host = fleet.getHost(machine);
@@ -252,11 +262,7 @@
       case FaultKind.HostCrash:
         return crashHost(pickMachine(fault), fault.forMs, fleet.boot);
       case FaultKind.HostRestart:
-        return crashHost(
-          pickMachine(fault),
-          fault.forMs / RESTART_PAUSE_DIVISOR,
-          fleet.restart,
-        );
+        return restartHost(fault);
       case FaultKind.HostDrain:
         return drainHost(fault);
       case FaultKind.HostHang:
