Give up a lasting task that no host has survived

Cause: the change looked at how the task ends, not at whether a host has survived its start, which tells a sound task from one that crashes hosts.

Change: a lasting task is given up after two crashes of which it was the only possible cause, unless a host has listed a run of it in this term.

--- a/features/workflows/crashing_tasks.feature
+++ b/features/workflows/crashing_tasks.feature
@@ -41,6 +41,15 @@
     And each host crashes 5 times, once every 5 s
     Then it is "running" within 1 s
 
+  # Guards against a lasting task that is started again on host after host and
+  # crashes each of them.
+  @promise-long-work @failure-impossible-job
+  Scenario: A lasting task that crashes each host that starts it
+    Given 3 entry hosts and 4 hosts for workflows
+    When a workflow of 1 lasting task that crashes its hosts is submitted
+    Then it is "failed" within 20 s
+    And it has crashed at most 3 hosts
+
   # Guards against lasting tasks that are given up, and stopped on all other hosts,
   # because one host crashes just after its starts of one of them.
   @promise-long-work @failure-crash
--- a/features/workflows/crashing_tasks.steps.ts
+++ b/features/workflows/crashing_tasks.steps.ts
@@ -46,6 +46,15 @@
   crashingIds = new Set([await submit({spec})]);
 });
 
+When(
+  'a workflow of 1 lasting task that crashes its hosts is submitted',
+  async () => {
+    const spec = createSpec({crashesHost: true, lasting: true});
+    const steps = [createStep({lasting: true})];
+    crashingIds = new Set([await submit({spec, steps})]);
+  },
+);
+
 When(
   '{int} workflows of {int} tasks of {int} ms are submitted, every tenth of which crashes its hosts, one every {int} ms',
   async (
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -360,6 +360,7 @@
   ): void {
     confirm(placement);
     placement.listed = true;
+    task.hasBeenListed = true;
     room.starting.delete(task);
     onBegun(task);
     placement.seenAt = performance.now();
--- a/src/decisions/workflows/host_crash.ts
+++ b/src/decisions/workflows/host_crash.ts
@@ -2,8 +2,8 @@
 import {TaskRecord} from './task_record';
 
 /**
- * Number of crashes after which a task that ends by itself is given up if it was
- * the only one that its host was starting.
+ * Number of crashes after which a task is given up if it was the only one that
+ * its host was starting.
  */
 const MAX_OWN_CRASHES = 2;
 /** Number of crashes after which a task that ends by itself is given up. */
@@ -16,8 +16,8 @@
  * were not listed yet are the likely cause; if all were, any run may be.
  *
  * @param tasks the tasks that were placed on the host
- * @returns the tasks that must not be started again; never lasting ones, which
- *     are promised to be started again however they end
+ * @returns the tasks that must not be started again; no lasting one whose start
+ *     a host has survived, as it is promised to be started again however it ends
  */
 export function recordCrash(
   tasks: readonly TaskRecord[],
@@ -26,10 +26,11 @@
   const suspects =
     starting.length > 0 ? starting : tasks.filter(({step}) => !step.lasting);
   for (const task of suspects) task.crashes += 1;
-  return suspects.filter(({crashes, placement, step}) => {
-    if (step.lasting) return false;
+  return suspects.filter(({crashes, hasBeenListed, placement, step}) => {
+    if (step.lasting && hasBeenListed) return false;
     const isCause = starting.length === 1 && placement?.confirmed;
-    return crashes >= (isCause ? MAX_OWN_CRASHES : MAX_SHARED_CRASHES);
+    if (isCause && crashes >= MAX_OWN_CRASHES) return true;
+    return !step.lasting && crashes >= MAX_SHARED_CRASHES;
   });
 }
 
--- a/src/decisions/workflows/task_record.ts
+++ b/src/decisions/workflows/task_record.ts
@@ -39,6 +39,8 @@
   failures: number;
   /** Number of crashes of hosts that the task may have caused. */
   crashes: number;
+  /** Whether a host has listed a run of it in this term. */
+  hasBeenListed: boolean;
   checkpoint: string;
   placement: Placement | undefined;
   /** Hosts on which a run of the task has failed or stalled. */
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -245,6 +245,7 @@
     lostRun: 0,
     failures: 0,
     crashes: 0,
+    hasBeenListed: false,
     checkpoint: '',
     placement: undefined,
     avoid: new Set<string>(),
