Give up a task only after two crashes with no other possible cause

What callers saw: a sound submission is shown as failed, "2 hosts crashed under" one of its tasks, though one of the two crashes had other possible causes.

Cause: the second crash gave a task up if it was the only one being started then, whatever the first one was.

Change: crashes for which a task was the only possible cause are counted by themselves, and stored. A task is given up after two of them, or after four of any kind as before. One that crashes each host that starts it is given up after three at most, as suspects are started alone.

--- a/features/workflows/crashing_tasks.feature
+++ b/features/workflows/crashing_tasks.feature
@@ -68,3 +68,13 @@
     When it crashes
     Then both tasks may have caused the crash
     And none of them is given up
+
+  # Guards against a sound task that is given up after two crashes, one of which
+  # another task may have caused.
+  Scenario: Only one of the crashes under a task has no other possible cause
+    Given a host that has acknowledged the start of 2 of 2 tasks
+    When it crashes
+    And it crashes again while it starts only the first of them
+    Then none of them is given up
+    When it crashes again while it starts only the first of them
+    Then the first of them is given up
--- a/features/workflows/crashing_tasks.steps.ts
+++ b/features/workflows/crashing_tasks.steps.ts
@@ -180,6 +180,14 @@
   givenUp = recordCrash(tasks);
 });
 
+When('it crashes again while it starts only the first of them', () => {
+  givenUp = recordCrash(tasks.slice(0, 1));
+});
+
+Then('the first of them is given up', () => {
+  assert.deepEqual(givenUp, tasks.slice(0, 1));
+});
+
 Then('both tasks may have caused the crash', () => {
   assert.ok(tasks.every(isSuspect));
 });
--- a/src/decisions/workflows/encode_progress.ts
+++ b/src/decisions/workflows/encode_progress.ts
@@ -66,6 +66,9 @@
     ...(tasks.some(task => task.crashes > 0)
       ? {crashes: tasks.map(task => task.crashes)}
       : {}),
+    ...(tasks.some(task => task.ownCrashes > 0)
+      ? {ownCrashes: tasks.map(task => task.ownCrashes)}
+      : {}),
     ...(Object.keys(checkpoints).length > 0 ? {checkpoints} : {}),
     ...(Object.keys(placements).length > 0 ? {placements} : {}),
   };
--- a/src/decisions/workflows/host_crash.ts
+++ b/src/decisions/workflows/host_crash.ts
@@ -2,8 +2,8 @@
 import {TaskRecord} from './task_record';
 
 /**
- * Number of crashes after which a task is given up if it was the only one that
- * its host was starting.
+ * Number of crashes after which a task is given up if each time it was the only
+ * one that its host was starting.
  */
 const MAX_OWN_CRASHES = 2;
 /** Number of crashes after which a task that ends by itself is given up. */
@@ -25,11 +25,14 @@
   const starting = tasks.filter(({placement}) => !placement?.listed);
   const suspects =
     starting.length > 0 ? starting : tasks.filter(({step}) => !step.lasting);
-  for (const task of suspects) task.crashes += 1;
-  return suspects.filter(({crashes, hasBeenListed, placement, step}) => {
+  const isOnlyOne = starting.length === 1 && starting[0].placement?.confirmed;
+  for (const task of suspects) {
+    task.crashes += 1;
+    if (isOnlyOne) task.ownCrashes += 1;
+  }
+  return suspects.filter(({crashes, ownCrashes, hasBeenListed, step}) => {
     if (step.lasting && hasBeenListed) return false;
-    const isCause = starting.length === 1 && placement?.confirmed;
-    if (isCause && crashes >= MAX_OWN_CRASHES) return true;
+    if (ownCrashes >= MAX_OWN_CRASHES) return true;
     return !step.lasting && crashes >= MAX_SHARED_CRASHES;
   });
 }
--- a/src/decisions/workflows/stored_progress.ts
+++ b/src/decisions/workflows/stored_progress.ts
@@ -11,6 +11,11 @@
    * was none.
    */
   readonly crashes?: readonly number[];
+  /**
+   * Number of crashes for which each task was the only possible cause; absent if
+   * there was none.
+   */
+  readonly ownCrashes?: readonly number[];
   /** Last checkpoint by index of an unfinished task. */
   readonly checkpoints?: Readonly<Record<number, string>>;
   /** `hostId|bornAt|address` by index of a placed task. */
--- a/src/decisions/workflows/task_record.ts
+++ b/src/decisions/workflows/task_record.ts
@@ -39,6 +39,8 @@
   failures: number;
   /** Number of crashes of hosts that the task may have caused. */
   crashes: number;
+  /** Number of these crashes for which it was the only possible cause. */
+  ownCrashes: number;
   /** Whether a host has listed a run of it in this term. */
   hasBeenListed: boolean;
   checkpoint: string;
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -245,6 +245,7 @@
     lostRun: 0,
     failures: 0,
     crashes: 0,
+    ownCrashes: 0,
     hasBeenListed: false,
     checkpoint: '',
     placement: undefined,
@@ -260,6 +261,7 @@
   task.run = stored.runs[task.index] ?? 0;
   task.failures = stored.failures?.[task.index] ?? 0;
   task.crashes = stored.crashes?.[task.index] ?? 0;
+  task.ownCrashes = stored.ownCrashes?.[task.index] ?? 0;
   task.checkpoint = stored.checkpoints?.[task.index] ?? '';
   const place = stored.placements?.[task.index];
   if (place) {
