Don't look for a restart in the answer to a deposed leader

A host that refuses a hold call for its fencing token tells no birth and lists no ends, and the session ends with the term.

--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -304,11 +304,11 @@
       return false;
     }
     const report = answer.value;
-    identify(report, calledAddress.address, sentAt);
     if (report.refusal === HostRefusal.Fenced) {
       onFenced();
       return false;
     }
+    identify(report, calledAddress.address, sentAt);
     if (report.refusal !== undefined) return false;
     handleReport(report, number);
     runEnds.markAcknowledged(report.seenEnd);
