Soak: count no answer of an earlier process as the readiness of the next one

The soak sends SIGHUP only to a process that is ready, but its predecessor, which still ran, had answered.

--- a/bench/soak/entry.ts
+++ b/bench/soak/entry.ts
@@ -249,9 +249,12 @@
       ]);
     },
     async isReady() {
+      const current = child;
       const status = await fetchReadiness(READY_TIMEOUT_MS);
-      serving ||= status === 200;
-      return status === 200;
+      // An earlier process that still runs may have answered.
+      const isOwn = child === current && running.size === 1;
+      serving ||= isOwn && status === 200;
+      return isOwn && status === 200;
     },
     isAnswering: async withinMs => (await fetchReadiness(withinMs)) !== 0,
     isServing: () => serving && child !== undefined,
