--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -10,8 +10,6 @@
 export interface HostIncarnation {
   /** Unix time in ms at which it started; 0 until it is known. */
   bornAt: number;
-  /** Connection over which it has reported last; 0 before. */
-  connection: number;
   /** Address at which it has reported, or was registered at first. */
   address: string;
   /** Monotonic time in ms of its first report in this term; 0 before. */
@@ -70,7 +68,6 @@
   const runEnds = createRunEndTracker();
   return {
     bornAt,
-    connection: 0,
     address,
     reportedAt: 0,
     reached: false,
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -281,7 +281,11 @@
     updateAddress();
     reports += 1;
     const number = reports;
-    const {reached, runEnds, connection} = incarnation;
+    const {reached, runEnds} = incarnation;
+    // After a failed call, another incarnation may answer, to which the numbers
+    // of this one mean other ends.
+    const seenEnd =
+      reached && failedHolds === 0 ? runEnds.getUnacknowledged() : 0;
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
@@ -292,8 +296,7 @@
     const calledAddress = address;
     const answer = await hosts.hold(calledAddress, {
       fence,
-      seenEnd: runEnds.getUnacknowledged(),
-      seenOn: connection,
+      seenEnd,
       untilMs,
       waitMs,
     });
@@ -308,10 +311,10 @@
       onFenced();
       return false;
     }
-    identify(report, calledAddress.address, sentAt);
+    identify(report, calledAddress.address, seenEnd, sentAt);
     if (report.refusal !== undefined) return false;
     handleReport(report, number);
-    runEnds.markAcknowledged(report.seenEnd);
+    runEnds.markAcknowledged(seenEnd);
     return true;
   }
 
@@ -420,12 +423,12 @@
   function identify(
     report: HoldReport,
     answeredFrom: string,
+    seenEnd: number,
     sentAt: number,
   ): void {
-    const evidence = findRestart(incarnation, report, sentAt);
+    const evidence = findRestart(incarnation, report, seenEnd, sentAt);
     if (evidence) handleRestart(report, answeredFrom, evidence);
     incarnation.bornAt ||= report.bornAt;
-    incarnation.connection = report.connection;
     incarnation.address = answeredFrom;
     recordAnswer(report, incarnation);
   }
--- a/src/ports/hosts/hold_report.ts
+++ b/src/ports/hosts/hold_report.ts
@@ -7,10 +7,6 @@
    * Unix time in ms at which the host incarnation started; 0 if not reported.
    */
   readonly bornAt: number;
-  /** Connection that has delivered it, which leads to this incarnation only. */
-  readonly connection: number;
-  /** Highest end that the call has acknowledged; 0 if none. */
-  readonly seenEnd: number;
   readonly running: readonly RunningTask[];
   readonly ended: readonly TaskEnd[];
 }
--- a/src/ports/hosts/hold_request.ts
+++ b/src/ports/hosts/hold_request.ts
@@ -7,11 +7,6 @@
   readonly fence: number;
   /** Ends up to this number have been stored, and the host may discard them. */
   readonly seenEnd: number;
-  /**
-   * Connection that has delivered the report of these ends. Over another one
-   * the call acknowledges none, as another incarnation may receive it.
-   */
-  readonly seenOn: number;
   /**
    * Time on the host's clock in ms at which the lease expires; undefined leaves
    * it unchanged.
--- a/src/stand_ins/external_platform/host_api.ts
+++ b/src/stand_ins/external_platform/host_api.ts
@@ -24,14 +24,11 @@
  * Creates the handler of one host's HTTP API, backed by the stand-in fleet.
  *
  * @param hosts calls to the hosts of the fleet
- * @param getConnection returns the number by which the fleet knows the
- *     connections to the host; they break when it ends
  * @param getHost returns the host that is currently at the address; undefined
  *     if it is down, so that connections break
  */
 export function createHostApi(
   hosts: TaskHosts,
-  getConnection: () => number,
   getHost: () => HostAddress | undefined,
 ) {
   return async ({path, headers, body}: JsonCall): Promise<JsonAnswer> => {
@@ -66,7 +63,6 @@
         const answer = await hosts.hold(host, {
           fence: order.fence,
           seenEnd: Number(body.lastSeen ?? 0),
-          seenOn: getConnection(),
           untilMs:
             body.untilMs === undefined ? undefined : Number(body.untilMs),
           waitMs: Number(body.waitMs ?? 0),
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -74,11 +74,6 @@
    *     of its start by default
    */
   restart(machine: string, moved?: boolean, bornAt?: number): void;
-  /**
-   * Returns the number of the connections to the host that runs on a machine; 0
-   * if none does.
-   */
-  getConnection(machine: string): number;
   /** Returns the host that currently runs on a machine. */
   getHost(machine: string): TaskHostModel | undefined;
   /**
@@ -106,8 +101,6 @@
   readonly upkeepMs: number;
   /** Random numbers in [0, 1) that select the calls with faults. */
   readonly random: () => number;
-  /** Called when the connections to a machine's host have broken. */
-  readonly onDisconnect?: (machine: string) => void;
   /**
    * Key prefix and encoding of registry entries; JSON of the host by default.
    */
@@ -143,7 +136,6 @@
   moveMs,
   upkeepMs,
   random,
-  onDisconnect = () => {},
   registry = {
     prefix: FLEET_REGISTRY_PREFIX,
     write: host => JSON.stringify(host),
@@ -155,8 +147,6 @@
   const labelsByMachine = new Map<string, readonly string[]>();
   const gangs = createGangs();
   const endedHosts = new Set<TaskHostModel>();
-  /** Number of the connections that lead to each incarnation of a host. */
-  const connections = new Map<TaskHostModel, number>();
   /** Id of the host that was last on a machine. */
   const lastHostIds = new Map<string, string>();
   const faults: FleetCallFaults = {
@@ -211,8 +201,6 @@
     };
     const model = createTaskHostModel(host, maxLeaseMs, record, gangs, crash);
     hosts.set(host.id, model);
-    connections.set(model, hostCount);
-    onDisconnect(id);
     lastHostIds.set(id, host.id);
     record({kind: FleetEventKind.Boot, hostId: host.id, task: '', run: 0});
     setMachine(id, {state: MachineState.Up, hostId: host.id});
@@ -225,7 +213,6 @@
     if (!host) return;
     host.kill();
     endedHosts.add(host);
-    if (!faults.silent.has(host.host.id)) onDisconnect(id);
     const key = `${registry.prefix}${host.host.id}`;
     setTimeout(() => {
       if (hosts.get(host.host.id) === host) putEntry(key, undefined);
@@ -355,10 +342,6 @@
       faults.silent.delete(hostId);
       boot(machine, hostId, moved ? `${address}'` : address, bornAt);
     },
-    getConnection(machine) {
-      const host = hosts.get(machines.get(machine)?.hostId ?? '');
-      return (host && connections.get(host)) ?? 0;
-    },
     getHost: machine => hosts.get(machines.get(machine)?.hostId ?? ''),
     createTaskHosts: isPartitioned => ({
       start(host, order) {
@@ -371,13 +354,9 @@
       pace: (host, order, percent) =>
         call(host, isPartitioned, true, model => model.pace(order, percent)),
       async hold(host, request) {
-        const report = call(host, isPartitioned, false, model => {
-          const connection = connections.get(model) ?? 0;
-          const isSame = connection === request.seenOn;
-          const seenEnd = isSame ? request.seenEnd : 0;
-          const answer = model.hold({...request, seenEnd});
-          return answer.then(each => ({...each, connection}));
-        });
+        const report = call(host, isPartitioned, false, model =>
+          model.hold(request),
+        );
         if (random() >= faults.lostHolds) return report;
         await delay(request.waitMs + HOLD_TIMEOUT_MARGIN_MS);
         return Result.err(HostCallFailure.NoAnswer);
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -66,7 +66,6 @@
   start(order: StartOrder): HostAnswer;
   stop(order: RunOrder): HostAnswer;
   pace(order: RunOrder, percent: number): HostAnswer;
-  /** Answers a hold call; `seenOn` is not looked at. */
   hold(request: HoldRequest): Promise<HoldReport>;
   /** Returns the current runs as a hold call reports them. */
   listRunning(): readonly RunningTask[];
@@ -315,8 +314,7 @@
       return answer();
     },
     async hold({fence: requestFence, seenEnd, untilMs, waitMs}) {
-      const told = {bornAt: host.bornAt, connection: 0, seenEnd};
-      const emptyReport = {...told, running: [], ended: []};
+      const emptyReport = {bornAt: host.bornAt, running: [], ended: []};
       if (!acceptFence(requestFence)) {
         return {...answer(HostRefusal.Fenced), ...emptyReport};
       }
@@ -341,7 +339,7 @@
       }
       return {
         ...answer(),
-        ...told,
+        bornAt: host.bornAt,
         running: alive ? listRunning() : [],
         ended: [...ended],
       };
