Acknowledge ends over connections that have reported them

What callers saw: a task that is done runs again after its worker has restarted between two hold calls, if the answer to the first start on the new life is lost: the next hold call acknowledges, by the numbers of the earlier life, an end that the new life has not listed yet.

Cause: the number of an end means something to one life of a host only, but the call that acknowledges it went over whichever connection was free or could be opened, and so to whichever life answered.

Evidence: the example "is lost" of "A host restarts between two reports ..." was known red: ran-again, a call names end 62 of the earlier life and end 1 is forgotten unread. Its entry is taken out.

Change: each report tells the connection that has delivered it. Such connections lead to its life only, as a restart closes them, and a hold call names ends only if it leaves over one of them.

--- a/features/platform/service_answers.feature
+++ b/features/platform/service_answers.feature
@@ -115,3 +115,12 @@
     Given a service that answers 200 with {"clockMs":5,"running":[],"ended":[]}
     When a client for at most 10 addresses calls 40 hosts, one after the other
     Then at most 10 connections are open
+
+  # Guards against an acknowledgement that reaches another incarnation of a host.
+  Scenario: An acknowledgement is sent only over a connection that has delivered a report
+    Given a host that lists its ends
+    When a client calls "hold" and acknowledges the ends of the report
+    Then the host has received the acknowledgement
+    When the host has closed its connections
+    And a client calls "hold" and acknowledges the ends of the report
+    Then the host has received no acknowledgement, as the report says
--- a/features/platform/service_answers.steps.ts
+++ b/features/platform/service_answers.steps.ts
@@ -9,6 +9,7 @@
 import {createPlatformStore} from '../../platform/store';
 import {createPlatformTaskHosts} from '../../platform/task_hosts';
 import {StoreChanges, StoreListing} from '../../src/ports';
+import {HoldReport, HostConnection, TaskHosts} from '../../src/ports/hosts';
 import {createMirror} from '../../src/state';
 
 /** Time in ms within which every call ends. */
@@ -18,7 +19,13 @@
 const PIECES = 5_000;
 const CHUNK = 'x'.repeat(1_000_000);
 const ORDER = {task: '5c0e7a21d94b36f8.0.0.0', run: 1, fence: 1};
-const HOLD = {fence: 1, seenEnd: 0, untilMs: undefined, waitMs: 0};
+const HOLD = {
+  fence: 1,
+  seenEnd: 0,
+  seenOn: new WeakSet<HostConnection>(),
+  untilMs: undefined,
+  waitMs: 0,
+};
 const START = {...ORDER, spec: '', untilMs: 1, checkpoint: '', ticket: ''};
 const TRANSACTION = {conditions: new Map(), puts: [], removals: ['a']};
 
@@ -27,6 +34,11 @@
 let sentBytes = 0;
 let received = 0;
 let answer: Result<unknown, string>;
+let hosts: TaskHosts;
+/** Connection of the last report. */
+let seenOn = new WeakSet<HostConnection>();
+/** Highest end that the host was told to discard. */
+let acknowledged = 0;
 
 After({tags: '@real-clock'}, () => {
   server?.close();
@@ -155,6 +167,56 @@
   },
 );
 
+Given('a host that lists its ends', async () => {
+  hosts = createPlatformTaskHosts();
+  await startHost();
+  const report = await hosts.hold({id: 'i-1', address}, HOLD);
+  assert.ok(report.isOk);
+  seenOn = new WeakSet([report.value.connection]);
+});
+
+/** Starts a host that keeps the last acknowledgement that it has received. */
+async function startHost(): Promise<void> {
+  server = createServer(async (request, response) => {
+    let text = '';
+    for await (const chunk of request) text += String(chunk);
+    acknowledged = (JSON.parse(text) as {lastSeen: number}).lastSeen;
+    response.end('{"clockMs":5,"running":[],"ended":[]}');
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+When(
+  'a client calls "hold" and acknowledges the ends of the report',
+  async () => {
+    acknowledged = 0;
+    answer = await hosts.hold(
+      {id: 'i-1', address},
+      {...HOLD, seenEnd: 5, seenOn},
+    );
+  },
+);
+
+When('the host has closed its connections', async () => {
+  server?.closeAllConnections();
+  // The client notices it a little later.
+  await new Promise(resolve => setTimeout(resolve, 100));
+});
+
+Then('the host has received the acknowledgement', () => {
+  assert.ok(answer.isOk);
+  assert.equal((answer.value as HoldReport).seenEnd, 5);
+  assert.equal(acknowledged, 5);
+});
+
+Then('the host has received no acknowledgement, as the report says', () => {
+  assert.ok(answer.isOk);
+  assert.equal((answer.value as HoldReport).seenEnd, 0);
+  assert.equal(acknowledged, 0);
+});
+
 Then('at most {int} connections are open', async (limit: number) => {
   // Closed connections are noticed a little later.
   await new Promise(resolve => setTimeout(resolve, 100));
--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -89,10 +89,6 @@
     Examples:
       | outcome |
       | arrives |
-
-    @known-red
-    Examples:
-      | outcome |
       | is lost |
 
   # Guards against tasks that wait for a lease on the clock of an earlier
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -1,3 +1,4 @@
+import {HostConnection} from '../../ports/hosts';
 import {TaskHost} from '../../types/workflow';
 import {HostClock, MIN_CLOCK_RATE, createHostClock} from './host_clock';
 import {RunEndTracker, createRunEndTracker} from './run_end_tracker';
@@ -10,6 +11,8 @@
 export interface HostIncarnation {
   /** Unix time in ms at which it started; 0 until it is known. */
   bornAt: number;
+  /** Connections that have delivered its reports, and so lead to it only. */
+  readonly connections: WeakSet<HostConnection>;
   /** Address at which it has reported, or was registered at first. */
   address: string;
   /** Monotonic time in ms of its first report in this term; 0 before. */
@@ -68,6 +71,7 @@
   const runEnds = createRunEndTracker();
   return {
     bornAt,
+    connections: new WeakSet(),
     address,
     reportedAt: 0,
     reached: false,
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -281,11 +281,7 @@
     updateAddress();
     reports += 1;
     const number = reports;
-    const {reached, runEnds} = incarnation;
-    // After a failed call, another incarnation may answer, to which the numbers
-    // of this one mean other ends.
-    const seenEnd =
-      reached && failedHolds === 0 ? runEnds.getUnacknowledged() : 0;
+    const {reached, runEnds, connections} = incarnation;
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
@@ -296,7 +292,8 @@
     const calledAddress = address;
     const answer = await hosts.hold(calledAddress, {
       fence,
-      seenEnd,
+      seenEnd: runEnds.getUnacknowledged(),
+      seenOn: connections,
       untilMs,
       waitMs,
     });
@@ -311,10 +308,10 @@
       onFenced();
       return false;
     }
-    identify(report, calledAddress.address, seenEnd, sentAt);
+    identify(report, calledAddress.address, sentAt);
     if (report.refusal !== undefined) return false;
     handleReport(report, number);
-    runEnds.markAcknowledged(seenEnd);
+    runEnds.markAcknowledged(report.seenEnd);
     return true;
   }
 
@@ -423,12 +420,12 @@
   function identify(
     report: HoldReport,
     answeredFrom: string,
-    seenEnd: number,
     sentAt: number,
   ): void {
-    const evidence = findRestart(incarnation, report, seenEnd, sentAt);
+    const evidence = findRestart(incarnation, report, sentAt);
     if (evidence) handleRestart(report, answeredFrom, evidence);
     incarnation.bornAt ||= report.bornAt;
+    incarnation.connections.add(report.connection);
     incarnation.address = answeredFrom;
     recordAnswer(report, incarnation);
   }
--- a/src/actors/workflows/restart_evidence.ts
+++ b/src/actors/workflows/restart_evidence.ts
@@ -18,13 +18,11 @@
  *
  * @param incarnation the known incarnation
  * @param report the answer to a hold call
- * @param seenEnd highest end number that the call has acknowledged
  * @param sentAt monotonic time of the call in ms
  */
 export function findRestart(
   {bornAt: knownBirth, clock, runEnds, isOver}: HostIncarnation,
-  {bornAt, clockMs, ended}: HoldReport,
-  seenEnd: number,
+  {bornAt, clockMs, ended, seenEnd}: HoldReport,
   sentAt: number,
 ): RestartEvidence | undefined {
   const isTold = bornAt !== 0 && knownBirth !== 0;
--- a/src/ports/hosts/index.ts
+++ b/src/ports/hosts/index.ts
@@ -7,6 +7,7 @@
 export * from './host_address';
 export * from './host_answer';
 export * from './host_call_failure';
+export * from './host_connection';
 export * from './machines';
 export * from './placement_advisor';
 export * from './run_order';
--- a/src/stand_ins/external_platform/external_platform.ts
+++ b/src/stand_ins/external_platform/external_platform.ts
@@ -69,6 +69,7 @@
 }: ExternalPlatformOptions): Promise<ExternalPlatform> {
   const keyValue = createKeyValue();
   const servers: JsonServer[] = [];
+  const hostServers = new Map<string, JsonServer>();
   const addresses = new Map<string, string>();
   const fleet = createMemoryFleet({
     keyValue,
@@ -78,6 +79,7 @@
     moveMs: MOVE_MS,
     upkeepMs: UPKEEP_MS,
     random,
+    onDisconnect: machine => hostServers.get(machine)?.disconnect(),
     registry: {
       prefix: REGISTRY_PREFIX,
       write: host => writeEntry(host, addresses.get(host.machine) ?? ''),
@@ -92,9 +94,10 @@
   }
   for (const [index, {pool, off}] of plannedMachines.entries()) {
     const machine = `machine-${index + 1}`;
-    const api = createHostApi(hosts, () => fleet.getHost(machine)?.host);
+    const api = createHostApi(hosts, () => fleet.getHost(machine));
     const server = await createJsonServer(api);
     servers.push(server);
+    hostServers.set(machine, server);
     addresses.set(machine, await exposeHost(machine, server.address));
     fleet.addMachine(pool, off);
   }
--- a/src/stand_ins/external_platform/host_api.ts
+++ b/src/stand_ins/external_platform/host_api.ts
@@ -1,12 +1,12 @@
 import {Result} from 'true-myth';
 import {
   HoldReport,
-  HostAddress,
   HostAnswer,
   HostCallFailure,
   HostRefusal,
   TaskHosts,
 } from '../../ports/hosts';
+import {TaskHostModel} from '../fleet';
 import {JsonAnswer, JsonCall} from './json_server';
 
 const REASONS: Readonly<Record<HostRefusal, string>> = {
@@ -29,11 +29,12 @@
  */
 export function createHostApi(
   hosts: TaskHosts,
-  getHost: () => HostAddress | undefined,
+  getHost: () => TaskHostModel | undefined,
 ) {
   return async ({path, headers, body}: JsonCall): Promise<JsonAnswer> => {
-    const host = getHost();
-    if (!host) throw new Error(NOBODY_LISTENS);
+    const model = getHost();
+    if (!model) throw new Error(NOBODY_LISTENS);
+    const {host} = model;
     if (headers['x-expect-instance'] !== host.id) return {status: 421};
     const order = {
       task: String(body.task),
@@ -63,6 +64,8 @@
         const answer = await hosts.hold(host, {
           fence: order.fence,
           seenEnd: Number(body.lastSeen ?? 0),
+          // A connection breaks when its host ends, so it leads to this one.
+          seenOn: new WeakSet([model]),
           untilMs:
             body.untilMs === undefined ? undefined : Number(body.untilMs),
           waitMs: Number(body.waitMs ?? 0),
--- a/src/stand_ins/external_platform/json_server.ts
+++ b/src/stand_ins/external_platform/json_server.ts
@@ -21,6 +21,8 @@
 export interface JsonServer {
   /** IP address and port, separated by a colon. */
   readonly address: string;
+  /** Closes all connections; new ones are accepted. */
+  disconnect(): void;
   dispose(): void;
 }
 
@@ -65,6 +67,7 @@
   const {port} = server.address() as AddressInfo;
   return {
     address: `${LOOPBACK}:${port}`,
+    disconnect: () => server.closeAllConnections(),
     dispose() {
       server.close();
       server.closeAllConnections();
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -101,6 +101,8 @@
   readonly upkeepMs: number;
   /** Random numbers in [0, 1) that select the calls with faults. */
   readonly random: () => number;
+  /** Called when the connections to a machine's host have broken. */
+  readonly onDisconnect?: (machine: string) => void;
   /**
    * Key prefix and encoding of registry entries; JSON of the host by default.
    */
@@ -136,6 +138,7 @@
   moveMs,
   upkeepMs,
   random,
+  onDisconnect = () => {},
   registry = {
     prefix: FLEET_REGISTRY_PREFIX,
     write: host => JSON.stringify(host),
@@ -201,6 +204,7 @@
     };
     const model = createTaskHostModel(host, maxLeaseMs, record, gangs, crash);
     hosts.set(host.id, model);
+    onDisconnect(id);
     lastHostIds.set(id, host.id);
     record({kind: FleetEventKind.Boot, hostId: host.id, task: '', run: 0});
     setMachine(id, {state: MachineState.Up, hostId: host.id});
@@ -213,6 +217,7 @@
     if (!host) return;
     host.kill();
     endedHosts.add(host);
+    if (!faults.silent.has(host.host.id)) onDisconnect(id);
     const key = `${registry.prefix}${host.host.id}`;
     setTimeout(() => {
       if (hosts.get(host.host.id) === host) putEntry(key, undefined);
@@ -354,9 +359,10 @@
       pace: (host, order, percent) =>
         call(host, isPartitioned, true, model => model.pace(order, percent)),
       async hold(host, request) {
-        const report = call(host, isPartitioned, false, model =>
-          model.hold(request),
-        );
+        const report = call(host, isPartitioned, false, model => {
+          const seenEnd = request.seenOn.has(model) ? request.seenEnd : 0;
+          return model.hold({...request, seenEnd});
+        });
         if (random() >= faults.lostHolds) return report;
         await delay(request.waitMs + HOLD_TIMEOUT_MARGIN_MS);
         return Result.err(HostCallFailure.NoAnswer);
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -66,6 +66,7 @@
   start(order: StartOrder): HostAnswer;
   stop(order: RunOrder): HostAnswer;
   pace(order: RunOrder, percent: number): HostAnswer;
+  /** Answers a hold call; `seenOn` is not looked at. */
   hold(request: HoldRequest): Promise<HoldReport>;
   /** Returns the current runs as a hold call reports them. */
   listRunning(): readonly RunningTask[];
@@ -258,7 +259,7 @@
     }));
   }
 
-  return {
+  const model: TaskHostModel = {
     host,
     faults,
     start(order) {
@@ -314,7 +315,8 @@
       return answer();
     },
     async hold({fence: requestFence, seenEnd, untilMs, waitMs}) {
-      const emptyReport = {bornAt: host.bornAt, running: [], ended: []};
+      const told = {bornAt: host.bornAt, connection: model, seenEnd};
+      const emptyReport = {...told, running: [], ended: []};
       if (!acceptFence(requestFence)) {
         return {...answer(HostRefusal.Fenced), ...emptyReport};
       }
@@ -339,7 +341,7 @@
       }
       return {
         ...answer(),
-        bornAt: host.bornAt,
+        ...told,
         running: alive ? listRunning() : [],
         ended: [...ended],
       };
@@ -365,4 +367,5 @@
       }
     },
   };
+  return model;
 }
