Check that the store holds each end that a host discards

An acknowledged end is gone, so its effect has to be stored before. Nothing checked that: a lost effect showed only if the leader was lost right after it and the task started again.

The stand-in hosts now tell each end that they discard. The world of the workflow features then reads the workflow from the store: an end as done has to be in the progress, or the workflow ended or removed. `world.check()` returns what is missing, so every scenario with "the run history has no violations" checks it, and the random histories of restarts too.

--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -2,10 +2,18 @@
   MACHINE_ORDERS_KEY,
   SubmitOutcome,
   WorkflowDraft,
+  getProgressKey,
+  getStateKey,
+  getWorkKey,
 } from '../../src/actors/workflows';
 import {Store} from '../../src/ports';
 import {indexByKey} from '../../src/decisions/workflows';
-import {RunViolation, checkRuns} from '../../src/history/workflows';
+import {
+  RunViolation,
+  RunViolationKind,
+  checkRuns,
+  isEndStored,
+} from '../../src/history/workflows';
 import {
   FLEET_REGISTRY_PREFIX,
   FleetEventKind,
@@ -28,6 +36,7 @@
   Organisation,
   Queue,
   Step,
+  TaskEnd,
   Workflow,
 } from '../../src/types/workflow';
 import {
@@ -222,7 +231,9 @@
     moveMs: TIMES.moveMs,
     upkeepMs: TIMES.upkeepMs,
     random,
+    onDiscard: checkDiscarded,
   });
+  const unstoredEnds: RunViolation[] = [];
   const members: TestMember[] = [];
   const workflows = new Map<string, Workflow>();
   const cancelledAt = new Map<string, number>();
@@ -254,6 +265,28 @@
     keyValue.swap({key, expectedVersion, value});
   }
 
+  function checkDiscarded(hostId: string, end: TaskEnd): void {
+    const [id] = end.task.split('.');
+    const isStored = isEndStored(end, {
+      workflow: read(getWorkKey(id)),
+      state: read(getStateKey(id)),
+      progress: read(getProgressKey(id)),
+    });
+    if (isStored) return;
+    const subject = `${end.task}/${end.run} on ${hostId}`;
+    const at = performance.now();
+    unstoredEnds.push({kind: RunViolationKind.NotStored, subject, at});
+  }
+
+  /** Returns undefined if the key does not exist or cannot be read. */
+  function read<T>(key: string): T | undefined {
+    try {
+      return JSON.parse(keyValue.get(key)?.value ?? '') as T;
+    } catch {
+      return undefined;
+    }
+  }
+
   function addMember(): TestMember {
     const id = `entry-${members.length + 1}`;
     const faults = createStoreFaults();
@@ -387,8 +420,9 @@
     declareWave: wave =>
       put(`${WAVE_PREFIX}${wave.number}`, JSON.stringify(wave)),
     readWaveReports: () => waveReports,
-    check: () =>
-      checkRuns(fleet.events, {
+    check: () => [
+      ...unstoredEnds,
+      ...checkRuns(fleet.events, {
         workflows,
         cancelledAt,
         cancelMs: TIMES.cancelMs,
@@ -396,6 +430,7 @@
         drainMs: TIMES.drainMs,
         holderGapMs: TIMES.holderGapMs,
       }),
+    ],
     dispose() {
       for (const member of members) void member.entry.dispose();
       keyValue.dispose();
--- a/src/history/workflows/run_violation.ts
+++ b/src/history/workflows/run_violation.ts
@@ -4,6 +4,8 @@
   Overlap = 'overlap',
   /** A run started after a completed run of the task was acknowledged. */
   RanAgain = 'ran-again',
+  /** A completed run was acknowledged that the store does not hold as done. */
+  NotStored = 'not-stored',
   /** A run started before all tasks of the preceding steps were done. */
   TooEarly = 'too-early',
   /** A run started after the maximum number of attempts had failed. */
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -9,7 +9,7 @@
   TaskHosts,
 } from '../../ports/hosts';
 import {delay} from '../../state';
-import {Machine, MachineState, TaskHost} from '../../types/workflow';
+import {Machine, MachineState, TaskEnd, TaskHost} from '../../types/workflow';
 import {KeyValue} from '../platform';
 import {FleetEvent, FleetEventKind} from './fleet_event';
 import {createGangs} from './gangs';
@@ -108,6 +108,10 @@
     readonly prefix: string;
     readonly write: (host: TaskHost) => string;
   };
+  /**
+   * Called with each end that a host discards because it was acknowledged.
+   */
+  readonly onDiscard?: (hostId: string, end: TaskEnd) => void;
 }
 
 /** One-way latency of a call in ms. */
@@ -140,6 +144,7 @@
     prefix: FLEET_REGISTRY_PREFIX,
     write: host => JSON.stringify(host),
   },
+  onDiscard = () => {},
 }: MemoryFleetOptions): MemoryFleet {
   const events: FleetEvent[] = [];
   const hosts = new Map<string, TaskHostModel>();
@@ -199,7 +204,14 @@
       endHost(id);
       setTimeout(() => boot(id), RESTART_MS);
     };
-    const model = createTaskHostModel(host, maxLeaseMs, record, gangs, crash);
+    const model = createTaskHostModel(
+      host,
+      maxLeaseMs,
+      record,
+      gangs,
+      crash,
+      end => onDiscard(host.id, end),
+    );
     hosts.set(host.id, model);
     lastHostIds.set(id, host.id);
     record({kind: FleetEventKind.Boot, hostId: host.id, task: '', run: 0});
--- a/src/stand_ins/fleet/task_host_model.ts
+++ b/src/stand_ins/fleet/task_host_model.ts
@@ -110,6 +110,8 @@
  * @param record called with every event
  * @param gangs gangs of the whole fleet
  * @param crash ends the host without notice
+ * @param onDiscard called with each end that is discarded because it was
+ *     acknowledged
  */
 export function createTaskHostModel(
   host: TaskHost,
@@ -117,6 +119,7 @@
   record: RecordFleetEvent,
   gangs: Gangs,
   crash: () => void,
+  onDiscard: (end: TaskEnd) => void,
 ): TaskHostModel {
   const runs = new Map<string, Run>();
   /** Highest number of a run that has ended or was ordered to stop, by task. */
@@ -318,7 +321,9 @@
       if (!acceptFence(requestFence)) {
         return {...answer(HostRefusal.Fenced), ...emptyReport};
       }
+      const discarded = ended.filter(({number}) => number <= seenEnd);
       ended = ended.filter(({number}) => number > seenEnd);
+      discarded.forEach(onDiscard);
       record({
         kind: FleetEventKind.Acknowledged,
         hostId: host.id,
