Keep runs that a restarted host may execute until its own lease has ended

What callers saw: two runs of a task at the same time, on two hosts. The first one's end as done is then reported late and acknowledged (TWICE).

Cause: a lease is a time on the clock of the incarnation that the leader knows. A start that reaches a host which has just restarted under its id names a time that is far ahead of the new clock, so the host shortens it to the maximum lease (10 s). If the host then can't be reached, the leader judges by the clock of the earlier incarnation and gives the run up as "lease expired" after 6 s, although the new one executes it for 4 s more.

Change: a run whose start is unanswered, or any run after an answer has shown the restart, is given up only when a lease of the maximum length from the last call that granted one is over, too. A start is repeated only after the host has answered some call, as each attempt may extend that lease. Runs that the known incarnation has confirmed are given up as before.

Not covered: an order that is carried out seconds after it was sent, by the next incarnation.

--- /dev/null
+++ b/features/workflows/given_up_runs.feature
@@ -0,0 +1,21 @@
+Feature: Runs that are given up
+  A run is started elsewhere only once it certainly does not execute any more, and
+  its end can no longer count.
+
+  # Guards against runs that are given up by the clock of an earlier incarnation
+  # of their host, although a later one has cut its lease to the longest allowed.
+  @promise-long-work @failure-crash @failure-partition @failure-lost-answer
+  Scenario Outline: The start of a task reaches a host that has just restarted, its answer <outcome>, and the host falls silent
+    Given 3 entry hosts and 1 hosts for workflows
+    When 20 s pass
+    And the next start reaches a host that has just restarted and falls silent for 9 s, and its answer <outcome>
+    And a workflow of 1 tasks of 9000 ms is submitted
+    And 1 s pass
+    And another host starts
+    Then it is "completed" within 30 s
+    And the run history has no violations
+
+    Examples:
+      | outcome |
+      | arrives |
+      | is lost |
--- a/src/actors/workflows/host_clock.ts
+++ b/src/actors/workflows/host_clock.ts
@@ -22,8 +22,8 @@
    */
   estimate(): number | undefined;
   /**
-   * Records the time on the host's clock, in ms, at which a granted lease
-   * expires.
+   * Records the time on the host's clock, in ms, at which a lease expires that
+   * is granted by a call sent now.
    */
   recordLease(untilMs: number): void;
   /**
@@ -36,6 +36,12 @@
    * clock.
    */
   hasCertainlyExpired(): boolean;
+  /**
+   * The same for the clock of a later incarnation that the calls may have
+   * reached. To it the recorded times are far ahead, so it has granted a lease
+   * of the maximum length.
+   */
+  hasCertainlyExpiredOnNext(): boolean;
 }
 
 /**
@@ -53,12 +59,14 @@
 /**
  * Creates the clock estimate of one host incarnation.
  *
+ * @param maxLeaseMs maximum length in ms of a lease that hosts accept
  * @param earlierLeaseMs maximum remaining time in ms of leases granted by
  *     earlier leaders
  * @param misdirectedLeaseMs maximum remaining time in ms of leases that this
  *     leader may have granted in calls to the incarnation before
  */
 export function createHostClock(
+  maxLeaseMs: number,
   earlierLeaseMs: number,
   misdirectedLeaseMs = 0,
 ): HostClock {
@@ -67,6 +75,8 @@
   let reportedMs: number | undefined;
   let reportedAt = 0;
   let leaseUntil: number | undefined;
+  /** Monotonic time in ms of the last call that granted a lease. */
+  let grantedAt = -Infinity;
 
   return {
     observe(clockMs) {
@@ -84,6 +94,7 @@
         : Math.round(reportedMs + performance.now() - reportedAt),
     recordLease(untilMs) {
       leaseUntil = Math.max(leaseUntil ?? 0, untilMs);
+      grantedAt = performance.now();
     },
     recordFenceAccepted(leaseMs) {
       if (reportedMs === undefined) return;
@@ -100,5 +111,7 @@
       const lowestClockMs = reportedMs + (now - reportedAt) * MIN_CLOCK_RATE;
       return lowestClockMs > leaseUntil;
     },
+    hasCertainlyExpiredOnNext: () =>
+      performance.now() > grantedAt + maxLeaseMs / MIN_CLOCK_RATE,
   };
 }
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -32,14 +32,17 @@
  * Creates the state of the incarnation with which a session starts.
  *
  * @param host the host as it is registered
+ * @param maxLeaseMs maximum length in ms of a lease that hosts accept
  * @param earlierLeaseMs maximum remaining time in ms of leases granted by
  *     earlier leaders
  */
 export function createHostIncarnation(
   {bornAt, address}: TaskHost,
+  maxLeaseMs: number,
   earlierLeaseMs: number,
 ): HostIncarnation {
-  return create(bornAt, address, createHostClock(earlierLeaseMs));
+  const clock = createHostClock(maxLeaseMs, earlierLeaseMs);
+  return create(bornAt, address, clock);
 }
 
 /**
@@ -56,7 +59,8 @@
   address: string,
   maxLeaseMs: number,
 ): HostIncarnation {
-  const clock = createHostClock(0, maxLeaseMs / MIN_CLOCK_RATE);
+  const misdirectedLeaseMs = maxLeaseMs / MIN_CLOCK_RATE;
+  const clock = createHostClock(maxLeaseMs, 0, misdirectedLeaseMs);
   return create(bornAt, address, clock);
 }
 
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -161,7 +161,7 @@
   let answeredAt = performance.now();
   /** Number of reports requested. */
   let reports = 0;
-  let incarnation = createHostIncarnation(host, earlierLeaseMs);
+  let incarnation = createHostIncarnation(host, maxLeaseMs, earlierLeaseMs);
   let address: HostAddress = {id: host.id, address: host.address};
   let isHolding = false;
   /** Number of hold calls that have failed in a row. */
@@ -175,6 +175,7 @@
     isCurrent,
     getIncarnation: () => incarnation,
     nextLease,
+    hasAnsweredSince: time => answeredAt > time,
     onAnswer: handleOrderAnswer,
     onFailure: handleFailure,
     onSettled: handleSettled,
@@ -534,7 +535,20 @@
     if (performance.now() > suspectUntil) return;
     if (!incarnation.clock.hasCertainlyExpired()) return;
     incarnation.reached = false;
-    for (const task of [...tasks.values()]) dropRun(task, 'lease expired');
+    for (const task of [...tasks.values()]) {
+      if (mayRunOnNext(task)) continue;
+      dropRun(task, 'lease expired');
+    }
+  }
+
+  /**
+   * Returns whether a later incarnation of the host may execute a task, with a
+   * lease on its own clock: it may have received the start.
+   */
+  function mayRunOnNext({placement}: TaskRecord): boolean {
+    const {isOver, clock} = incarnation;
+    if (placement?.confirmed && !isOver) return false;
+    return !clock.hasCertainlyExpiredOnNext();
   }
 
   function dropRun(task: TaskRecord, cause: string): void {
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -44,6 +44,8 @@
    * lease expires; undefined while leases may not be extended.
    */
   readonly nextLease: () => number | undefined;
+  /** Returns whether the host has answered a call since a monotonic time in ms. */
+  readonly hasAnsweredSince: (time: number) => boolean;
   /**
    * Called when the host has answered an order to one of its incarnations.
    * `sentAt` is the monotonic time of the call in ms.
@@ -73,6 +75,8 @@
 
 /** Delay before retrying an unanswered call, in ms. */
 const RETRY_MS = 200;
+/** Interval in ms of the checks whether a silent host answers again. */
+const ANSWER_POLL_MS = 50;
 
 /**
  * Creates the orders to one host.
@@ -87,6 +91,7 @@
   isCurrent,
   getIncarnation,
   nextLease,
+  hasAnsweredSince,
   onAnswer,
   onFailure,
   onSettled,
@@ -102,7 +107,13 @@
     let unanswered = false;
     let incarnation = getIncarnation();
     let untilMs: number | undefined;
+    let sentAt = -Infinity;
     while (isCurrent(task, placement) && !placement.stopping) {
+      // Each attempt may reach a later incarnation and extend its lease.
+      if (!hasAnsweredSince(sentAt)) {
+        await delay(ANSWER_POLL_MS, signal);
+        continue;
+      }
       if (incarnation !== getIncarnation()) {
         // The lease was a time on the clock of the earlier incarnation.
         incarnation = getIncarnation();
@@ -113,7 +124,8 @@
         await delay(RETRY_MS, signal);
         continue;
       }
-      const sentAt = performance.now();
+      incarnation.clock.recordLease(untilMs);
+      sentAt = performance.now();
       const answer = await hosts.start(getAddress(), {
         task: task.name,
         run: placement.run,
