Soak: two store outages with lapsed entries, restarts, late orders and a power cut

Outages, restarts and late orders were drawn apart from each other, entries in the registry never lapsed, a late order reached only the incarnation that it was sent to, and no fault hit all entry processes at once.

Change: a run of at least 15 s has two outages of the store 5 to 7 s apart, in which the entries of half of the hosts lapse and most of these hosts restart under their ids; orders without an answer are carried out 1 to 4 s later, also by the next incarnation; the leader stands still for 20 to 400 ms at a time; at the end all entry processes are killed right after work was accepted. They are drawn after all other faults, so that a seed's other faults stay as they were. The number of hosts and the load are options.

--- a/bench/soak/apply_fault.ts
+++ b/bench/soak/apply_fault.ts
@@ -1,5 +1,6 @@
 import {METRICS_PORT} from '../../platform/metrics';
 import {LEADER_KEY} from '../../src/actors/workflows/keys';
+import {REGISTRY_PREFIX} from '../../src/stand_ins/external_platform';
 import {delay} from '../../src/state';
 import {MachineState} from '../../src/types/workflow';
 import {CALLER_PORT, READY_PORT} from '../workflows/entry_process';
@@ -16,12 +17,14 @@
 import {POOLS, SoakSite} from './site';
 import {applyStartFault} from './start_faults';
 import {StoreServer} from './store_server';
+import {Submission} from './submission';
 import {Check, Verdict} from './verdict';
 
 /** What faults act on. */
 export interface FaultContext {
   readonly site: SoakSite;
   readonly operator: Operator;
+  readonly submissions: ReadonlyMap<string, Submission>;
   readonly revival: EntryRevival;
   readonly disturbances: Disturbances;
   readonly verdict: Verdict;
@@ -36,6 +39,13 @@
 const HOST_RESTART_MS = 1_000;
 /** Part of its duration for which a host that restarts under its id is down. */
 const RESTART_PAUSE_DIVISOR = 4;
+/** One in so many entries that lapse never comes back. */
+const NEVER_BACK = 8;
+/** Minimum and maximum time in ms for which a starved process stands still. */
+const STARVED_MS = [20, 400] as const;
+/** Maximum time in ms that a power cut waits for accepted work. */
+const ACCEPT_WAIT_MS = 1_500;
+const ACCEPT_POLL_MS = 2;
 /** Maximum machines of a wave that are down at once. */
 const WAVE_CAP = 2;
 
@@ -43,6 +53,7 @@
 export function createFaultApplier({
   site,
   operator,
+  submissions,
   revival,
   disturbances,
   verdict,
@@ -170,6 +181,28 @@
     if (entry.incarnation === incarnation) entry.signal('SIGCONT');
   }
 
+  async function starve(fault: Fault): Promise<void> {
+    const random = getRandom(fault);
+    const endsAt = performance.now() + fault.forMs;
+    while (performance.now() < endsAt) {
+      await freeze({...fault, forMs: random.between(...STARVED_MS)});
+      await delay(random.between(...STARVED_MS));
+    }
+  }
+
+  async function cutPower({forMs}: Fault): Promise<void> {
+    const countAccepted = () =>
+      [...submissions.values()].filter(each => each.acceptedAt !== undefined)
+        .length;
+    const before = countAccepted();
+    const endsAt = performance.now() + ACCEPT_WAIT_MS;
+    while (countAccepted() === before && performance.now() < endsAt) {
+      await delay(ACCEPT_POLL_MS);
+    }
+    const running = site.listEntries().filter(entry => entry.isRunning());
+    await Promise.all(running.map(entry => revival.kill(entry, forMs / 4)));
+  }
+
   async function reload(fault: Fault): Promise<void> {
     const entry = pickEntry(fault);
     // A process that has not started yet has nothing to read again.
@@ -177,8 +210,7 @@
   }
 
   function pickMachine({target}: Fault): string {
-    const count = [...POOLS.values()].reduce((sum, size) => sum + size, 0);
-    return `machine-${(target % count) + 1}`;
+    return `machine-${(target % site.hostCount) + 1}`;
   }
 
   async function crashHost(
@@ -203,6 +235,28 @@
     );
   }
 
+  async function lapseEntry(fault: Fault): Promise<void> {
+    const machine = pickMachine(fault);
+    const model = fleet.getHost(machine);
+    const key = `${REGISTRY_PREFIX}${model?.host.id}`;
+    const entry = keyValue.get(key);
+    if (!entry) return;
+    keyValue.swap({key, expectedVersion: entry.version, value: undefined});
+    await delay(fault.forMs);
+    if (fault.amount % NEVER_BACK === 0) return;
+    if (fleet.getHost(machine) !== model) return;
+    keyValue.swap({key, expectedVersion: 0, value: entry.value});
+  }
+
+  /** Orders are carried out after half of the fault's duration. */
+  function delayOrders(fault: Fault): Promise<void> {
+    return hold(fault, FaultKind.LateOrders, [fleet.faults], (faults, on) => {
+      const share = on ? fault.amount / PERCENT : 0;
+      faults.delayedOrders = {share, afterMs: fault.forMs / 2};
+      faults.ordersOutliveHosts = fault.kind === FaultKind.OutlivingOrders;
+    });
+  }
+
   async function drainHost(fault: Fault): Promise<void> {
     const machine = pickMachine(fault);
     const host = fleet.getHost(machine);
@@ -241,6 +295,10 @@
         return revival.kill(pickEntry(fault), fault.forMs / 2);
       case FaultKind.Freeze:
         return freeze(fault);
+      case FaultKind.Starve:
+        return starve(fault);
+      case FaultKind.PowerCut:
+        return cutPower(fault);
       case FaultKind.Reload:
         return reload(fault);
       case FaultKind.SlowStore:
@@ -283,10 +341,10 @@
       case FaultKind.BadCallers:
         return callBadly(fault);
       case FaultKind.LateOrders:
-        return hold(fault, fault.kind, [fleet.faults], (faults, on) => {
-          const share = on ? fault.amount / PERCENT : 0;
-          faults.delayedOrders = {share, afterMs: fault.forMs / 2};
-        });
+      case FaultKind.OutlivingOrders:
+        return delayOrders(fault);
+      case FaultKind.LapsedEntry:
+        return lapseEntry(fault);
       case FaultKind.Configure:
         return operator.configure();
       case FaultKind.Grow:
--- a/bench/soak/fault.ts
+++ b/bench/soak/fault.ts
@@ -12,6 +12,10 @@
   Kill = 'sigkill',
   Freeze = 'sigstop',
   Reload = 'sighup',
+  /** The process gets no processor time for a part of a second at a time. */
+  Starve = 'starve',
+  /** All processes are killed at once, right after work was accepted. */
+  PowerCut = 'power-cut',
   /** Settings are half written, or replaced, with a burst of SIGHUP. */
   Settings = 'settings',
   /** A signal arrives while the process starts. */
@@ -40,6 +44,10 @@
   HostHang = 'host-hang',
   HostErrors = 'host-errors',
   LateOrders = 'late-orders',
+  /** Late orders that reach the next incarnation of a host, too. */
+  OutlivingOrders = 'outliving-orders',
+  /** A host's entry in the registry lapses and comes back late. */
+  LapsedEntry = 'lapsed-entry',
   // Of callers.
   BadCallers = 'bad-callers',
   // Of the operator.
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -5,9 +5,11 @@
 import {parseArgs} from 'node:util';
 import {FaultList, readFaultList, readRegressions} from './fault_list';
 import {planCalm, planFaults} from './plan_faults';
+import {planOutages} from './plan_outages';
 import {createRandom} from './random';
 import {SoakResult, runSoak} from './run';
 import {shrinkFaults} from './shrink';
+import {HOST_COUNT} from './site';
 import {Check} from './verdict';
 
 const MINUTE_MS = 60_000;
@@ -17,6 +19,8 @@
     seed: {type: 'string', default: '1'},
     minutes: {type: 'string', default: '1'},
     entries: {type: 'string', default: '4'},
+    hosts: {type: 'string', default: `${HOST_COUNT}`},
+    rate: {type: 'string', default: '6'},
     faults: {type: 'string'},
     plant: {type: 'string', default: ''},
     shrink: {type: 'string', default: '0'},
@@ -56,11 +60,11 @@
   const seed = Number(values.seed);
   const random = createRandom(seed);
   // Planted faults are played alone, so that nothing excuses them.
-  const faults =
-    planted.length > 0
-      ? planCalm(random)
-      : planFaults(random, Number(values.minutes) * MINUTE_MS);
-  return {seed, cause: '', faults};
+  if (planted.length > 0) return {seed, cause: '', faults: planCalm(random)};
+  const durationMs = Number(values.minutes) * MINUTE_MS;
+  const storms = planFaults(random, durationMs);
+  const outages = planOutages(random, durationMs, Number(values.hosts));
+  return {seed, cause: '', faults: [...storms, ...outages]};
 }
 
 /** Plays a list in a folder of its own, which is removed if nothing failed. */
@@ -72,6 +76,8 @@
   const result = await runSoak({
     ...{seed, faults, folder, planted, progress},
     entryCount: Number(values.entries),
+    hostCount: Number(values.hosts),
+    rate: Number(values.rate),
     onStarted(dispose) {
       disposeRunning = async () => {
         await dispose();
--- a/bench/soak/plan_faults.ts
+++ b/bench/soak/plan_faults.ts
@@ -135,7 +135,12 @@
   return random.pick(group);
 }
 
-function drawFault(random: Random, kind: FaultKind, atMs: number): Fault {
+/** Draws a fault of a kind. */
+export function drawFault(
+  random: Random,
+  kind: FaultKind,
+  atMs: number,
+): Fault {
   return {
     kind,
     atMs,
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -25,6 +25,10 @@
   /** Folder for settings, logs and histories. */
   readonly folder: string;
   readonly entryCount: number;
+  /** Number of machines with work. */
+  readonly hostCount: number;
+  /** Workflows that callers submit in a second. */
+  readonly rate: number;
   /** Checks for which a fault is planted that they must find. */
   readonly planted: readonly Check[];
   readonly progress: (line: string) => void;
@@ -51,7 +55,7 @@
 
 /** Plays a fault list against fresh entry hosts and checks the promises. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const {seed, faults, folder, entryCount, progress} = options;
+  const {seed, faults, folder, entryCount, hostCount, progress} = options;
   const random = createRandom(seed);
   const plants = createPlants(options.planted);
   const disturbances = createDisturbances();
@@ -77,6 +81,7 @@
     random,
     folder,
     entryCount,
+    hostCount,
     onOwnEnd: end => reviveEnded(end),
   });
   const {platform, entries, links} = site;
@@ -115,7 +120,7 @@
     ...{disturbances, verdict, plants, random},
   };
   const callers = createCallers({
-    ...{...shared, submissions, history},
+    ...{...shared, submissions, history, rate: options.rate},
   });
   const stops: (() => void)[] = [];
 
@@ -201,7 +206,7 @@
   });
   stops.push(() => (peakMb = endWatch()));
   const apply = createFaultApplier({
-    ...{site, operator, revival, disturbances, verdict},
+    ...{site, operator, submissions, revival, disturbances, verdict},
   });
   void plantInRuns();
   await Promise.all(
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -14,6 +14,8 @@
   readonly entries: readonly Entry[];
   /** The store as each entry host sees it. */
   readonly stores: readonly StoreServer[];
+  /** Number of machines with work. */
+  readonly hostCount: number;
   /** Proxies by kind: one for each entry host, or for each machine. */
   readonly links: Readonly<Record<LinkKind, readonly Link[]>>;
   /** Creates an entry host that the callers don't know. */
@@ -28,10 +30,11 @@
   readonly random: Random;
   readonly folder: string;
   readonly entryCount: number;
+  readonly hostCount: number;
   readonly onOwnEnd: (end: OwnEnd) => void;
 }
 
-/** Pools with work, and their machines. */
+/** Pools with work, and their shares of the machines. */
 export const POOLS = new Map([
   ['planner', 5],
   ['desk', 4],
@@ -39,14 +42,23 @@
 /** Pool whose machines are off. */
 export const SPARE_POOL = 'spare';
 const SPARE_MACHINES = 2;
+/** Number of machines with work unless another is wanted. */
+export const HOST_COUNT = 9;
 
 /** Starts the stand-ins and creates the entry hosts, which don't run yet. */
 export async function createSoakSite({
   random,
   folder,
   entryCount,
+  hostCount,
   onOwnEnd,
 }: SoakSiteOptions): Promise<SoakSite> {
+  const pools = new Map(
+    [...POOLS].map(([pool, share]) => [
+      pool,
+      Math.round((hostCount * share) / HOST_COUNT),
+    ]),
+  );
   const links: Record<LinkKind, Link[]> = {
     [LinkKind.Callers]: [],
     [LinkKind.Store]: [],
@@ -61,7 +73,7 @@
   }
 
   const platform = await createExternalPlatform({
-    pools: POOLS,
+    pools,
     sparePool: SPARE_POOL,
     spareMachines: SPARE_MACHINES,
     random: () => random.next(),
@@ -101,6 +113,7 @@
     platform,
     entries,
     stores,
+    hostCount,
     links,
     async addEntry() {
       const entry = await create(entryCount + added.length);
--- a/src/stand_ins/external_platform/external_platform.ts
+++ b/src/stand_ins/external_platform/external_platform.ts
@@ -53,7 +53,8 @@
 const MAX_LEASE_MS = 10_000;
 const MOVE_MS = 1_500;
 const UPKEEP_MS = 2_000;
-const REGISTRY_PREFIX = 'servers/';
+/** Key prefix under which hosts register themselves. */
+export const REGISTRY_PREFIX = 'servers/';
 
 /**
  * Starts a stand-in for the external platform.
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -240,8 +240,9 @@
       return Result.err(HostCallFailure.Unreachable);
     }
     if (isOrder && random() < faults.delayedOrders.share) {
+      const {ordersOutliveHosts} = faults;
       setTimeout(() => {
-        const late = faults.ordersOutliveHosts ? hosts.get(id) : host;
+        const late = ordersOutliveHosts ? hosts.get(id) : host;
         if (!late || endedHosts.has(late)) return;
         // A host that can't read a late order has nobody to tell.
         void (async () => effect(late))().catch(() => {});
