--- a/bench/soak/foreign_entries.ts
+++ b/bench/soak/foreign_entries.ts
@@ -1,7 +1,7 @@
+import {REGISTRY_PREFIX} from '../../src/stand_ins/external_platform';
 import {Random} from './random';
 import {POOLS} from './site';
 
-const PREFIX = 'servers/';
 /** Service that no configuration names. */
 const UNKNOWN_SERVICE = 'node-agent';
 const ADDRESSES = [
@@ -42,7 +42,7 @@
   };
   const write = (changed: object) => JSON.stringify({...sound, ...changed});
   const one = (value: string, id = 'agent-1') =>
-    new Map([[PREFIX + id, value]]);
+    new Map([[REGISTRY_PREFIX + id, value]]);
   const name = random.pick(Object.keys(sound));
   const address = random.pick(ADDRESSES);
   const draws = [
@@ -56,7 +56,7 @@
     () =>
       new Map(
         Array.from({length: MANY}, (_, at) => [
-          `${PREFIX}agent-${at + 1}`,
+          `${REGISTRY_PREFIX}agent-${at + 1}`,
           write({address: ADDRESSES[at % ADDRESSES.length]}),
         ]),
       ),
