Reproduce: a start order without an answer is carried out by the next incarnation

What callers see: a task whose end as done was acknowledged starts again (TWICE), or two of its runs execute at a time. Run 1 was ordered twice; the first call got no answer, the second one started it. The host restarts under its id, and seconds later the first call is carried out there. Its `untilMs` is far ahead on a clock that has started anew, and the host doesn't know that run 1 has ended.

Two scenarios on the paused clock; both fail on:

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -139,6 +139,36 @@
     Then it is "completed" within 8 s
     And the run history has no violations
 
+  # Guards against a task that starts again after its end was acknowledged: an
+  # earlier copy of its order, without an answer, reaches the next incarnation.
+  @known-red @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A host restarts before a start order without an answer is carried out
+    Given 3 entry hosts and 1 hosts for workflows
+    When 100 of 100 orders to hosts are carried out 5000 ms late without an answer
+    And late orders reach a host that has restarted meanwhile
+    And a workflow of 1 tasks of 300 ms is submitted
+    And 500 ms pass
+    And 0 of 100 orders to hosts are carried out 0 ms late without an answer
+    Then all are "completed" within 3 s
+    When the host with the most runs crashes and is back under its id after 200 ms
+    And 6 s pass
+    Then the run history has no violations
+
+  # Guards against two runs of a task at a time: one that was placed after a
+  # restart, and one of an earlier order that got no answer.
+  @known-red @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A host restarts, and start orders without an answer are carried out beside the next runs
+    Given 3 entry hosts and 2 hosts for workflows
+    When 100 of 100 orders to hosts are carried out 5000 ms late without an answer
+    And late orders reach a host that has restarted meanwhile
+    And a workflow of 20 tasks of 4000 ms is submitted
+    And 500 ms pass
+    And 0 of 100 orders to hosts are carried out 0 ms late without an answer
+    And 1 s pass
+    And the host with the most runs crashes and is back under its id after 200 ms
+    Then all are "completed" within 8 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
