Warnings for tasks that start again and for the ends that contradict it

The ones that decide why a task that was done ran again (`run lost`, `late end`, `took over`) were at level 30, and the incarnation, the end number and the acknowledged number were not logged. So the record couldn't tell an end acknowledged by a number of an earlier incarnation from a run that was given up too early, or from a new term that knows less.

Change, logs and metrics only: `run started again`, `late end`, `done again`, `unknown end`, `progress missing` and `late workflow` at level 40, and `took over` raised to it, each with the term. At most ten lines a second of each message and cause, with the number left out before a line; the bound of `key` lines is reused. `stray run` tells the birth of its host. sesamefront_runs_started_again_total counts by cause.

Not shown: an execution on a host on which nothing is placed, as it isn't asked.

--- a/features/workflows/logs_and_metrics.steps.ts
+++ b/features/workflows/logs_and_metrics.steps.ts
@@ -110,6 +110,18 @@
   },
 );
 
+When('it starts a task again because of {string}', (cause: string) =>
+  meter.countRunRestart(cause),
+);
+
+Then(
+  'its metrics count one start again because of {string}',
+  async (cause: string) => {
+    const sample = `sesamefront_runs_started_again_total{cause="${cause}"} 1`;
+    assert.ok((await meter.render()).includes(sample));
+  },
+);
+
 Then('no line of the metrics contains the request id', async () => {
   assert.ok(!(await meter.render()).includes(REQUEST_ID));
 });
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -62,6 +62,8 @@
   readonly callFaults: CallFaults;
   /** What failed at the entry host, as it has reported it. */
   readonly errors: readonly string[];
+  /** Cause of each start after a run without a known end. */
+  readonly restartCauses: readonly string[];
   /** Returns the number of its calls to the store. */
   countStoreCalls(): number;
 }
@@ -259,6 +261,7 @@
     const faults = createStoreFaults();
     let storeCalls = 0;
     const errors: string[] = [];
+    const restartCauses: string[] = [];
     const callFaults: CallFaults = {onCall: () => {}};
     const hook = <P extends object>(port: P) => hookCalls(port, callFaults);
     const member: TestMember = {
@@ -269,6 +272,7 @@
       pauseAfterRecordMs: 0,
       callFaults,
       errors,
+      restartCauses,
       countStoreCalls: () => storeCalls,
       entry: createWorkflowEntryHost({
         memberId: id,
@@ -309,8 +313,9 @@
         looksAhead: true,
         leaderLeaseMs: TIMES.leaderLeaseMs,
         times: TIMES,
-        log: createLog({member: id}, LogLevel.Error),
+        log: createLog({member: id}, LogLevel.Warn),
         errors: {report: activity => void errors.push(activity)},
+        onRunRestart: cause => void restartCauses.push(cause),
       }),
     };
     members.push(member);
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -1,5 +1,6 @@
 import {
   DemandForecast,
+  IncarnationId,
   LoadReport,
   OrganisationGauge,
   TaskPhase,
@@ -40,6 +41,7 @@
 import {readPoolGauges} from './pool_gauges';
 import {createRetention} from './retention';
 import {createRunEndHandler, listMembers} from './run_end_handler';
+import {createRunLog} from './run_log';
 import {createHostHealthMonitor} from './host_health_monitor';
 import {StoredWorkflows, readStoredWorkflows} from './stored_workflows';
 import {createTaskPlacer} from './task_placer';
@@ -119,6 +121,11 @@
   readonly unixNow: () => number;
   readonly log: Log;
   readonly errors: TermErrors;
+  /**
+   * Called with the cause when a task is started of which an earlier run was
+   * given up; from a small fixed set.
+   */
+  readonly onRunRestart: (cause: string) => void;
   /** Called when another leader has taken over. */
   readonly onFenced: (cause: string) => void;
 }
@@ -156,6 +163,7 @@
   unixNow,
   log,
   errors,
+  onRunRestart,
   onFenced,
 }: CoordinatorOptions): Coordinator {
   const records = new Map<string, WorkflowRecord>();
@@ -181,6 +189,7 @@
   const tickets = createTicketCache(advice, log, errors, schedulePlacement);
   const refusals = createStartRefusals();
   const pacing = createFillerPacing(sessions.all, log);
+  const runLog = createRunLog(term.fence, onRunRestart, log);
   const runEnds = createRunEndHandler(runTimes, hostHealth, finish, log);
   const placer = createTaskPlacer({
     records,
@@ -192,6 +201,7 @@
     usage,
     looksAhead,
     onInvalid: setAside,
+    onOrdered: task => runLog.recordStart(task),
     store: (record, effect) => ledger?.store(record, effect),
     unixNow,
     log,
@@ -277,7 +287,7 @@
 
   function update({workKeys, cancelledIds}: WorkflowUpdate): void {
     retention.updateStoredKeys(workKeys);
-    if (!ready && !tryTakeOver(workKeys.size)) return;
+    if (!ready && !tryTakeOver()) return;
     for (const id of cancelledIds) {
       const record = records.get(id);
       if (record) contain(record, () => cancel(record));
@@ -306,6 +316,7 @@
     );
     records.set(id, record);
     if (!ready) return;
+    runLog.recordAdmission(record, unixNow() - workflow.acceptedAt);
     countSubmission(record);
     forecastWork(workflow);
   }
@@ -326,9 +337,9 @@
     forecast.observe(pool, work, performance.now());
   }
 
-  function tryTakeOver(count: number): boolean {
+  function tryTakeOver(): boolean {
     try {
-      takeOver(count);
+      takeOver();
     } catch (error) {
       errors.end(TAKEOVER, error);
     }
@@ -339,7 +350,7 @@
    * Opens sessions with all registered hosts and with hosts on which an earlier
    * leader may have placed a task.
    */
-  function takeOver(count: number): void {
+  function takeOver(): void {
     sessions.update();
     [...records.values()]
       .sort((a, b) => a.acceptedAt - b.acceptedAt)
@@ -353,7 +364,7 @@
     // Nothing is placed before each stored task is adopted.
     ready = true;
     readRegistry();
-    log.info('took over', {fence: term.fence, workflows: count});
+    runLog.recordTakeover(records, sessions.all.size);
   }
 
   function openSession(host: TaskHost): HostSession {
@@ -375,9 +386,9 @@
         else refusals.record(group, host.id, performance.now());
       },
       onEnd: handleEnd,
-      onUnplacedEnd: (end, acknowledge) =>
-        handleUnplacedEnd(end, host.id, acknowledge),
-      onLost: (task, cause) => {
+      onUnplacedEnd: handleUnplacedEnd,
+      onLost: (task, cause, loss) => {
+        if (loss) runLog.recordLoss(task, loss);
         log.info('run lost', {
           request: task.workflow.id,
           task: task.name,
@@ -447,11 +458,18 @@
   function handleEnd(
     task: TaskRecord,
     end: TaskEnd,
+    source: IncarnationId,
     acknowledge: () => void,
   ): void {
     const record = records.get(task.workflow.id);
-    if (!record) return acknowledge();
-    contain(record, () => runEnds.handle(record, task, end));
+    if (!record) {
+      runLog.recordUnknownEnd(record, end, source);
+      return acknowledge();
+    }
+    contain(record, () => {
+      runLog.recordEnd(task, end, source, true);
+      runEnds.handle(record, task, end);
+    });
     ledger?.store(record, acknowledge);
     schedulePlacement();
   }
@@ -462,15 +480,19 @@
    */
   function handleUnplacedEnd(
     end: TaskEnd,
-    hostId: string,
+    source: IncarnationId,
     acknowledge: () => void,
   ): void {
     const record = records.get(end.task.split('.')[0]);
     const task = record && findTask(record, end.task);
-    if (!record || !task) return acknowledge();
+    if (!record || !task) {
+      runLog.recordUnknownEnd(record, end, source);
+      return acknowledge();
+    }
     let isChanged = false;
     contain(record, () => {
-      isChanged = runEnds.handleLate(record, task, end, hostId);
+      runLog.recordEnd(task, end, source, false);
+      isChanged = runEnds.handleLate(record, task, end, source.hostId);
     });
     // A later run of a task that is done is not needed.
     if (isChanged && task.phase === TaskPhase.Done) {
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  IncarnationId,
   Placement,
   TaskRecord,
   createHostRoom,
@@ -22,9 +23,11 @@
   createNextIncarnation,
 } from './host_incarnation';
 import {HostSessionOptions} from './host_session_options';
+import {createNamedEnds} from './named_ends';
 import {createRecentEntries} from './recent_entries';
 import {RestartEvidence, findRestart} from './restart_evidence';
 import {getRunKey} from './run_key';
+import {createRunLoss} from './run_loss';
 import {createRunOrders} from './run_orders';
 
 /**
@@ -162,6 +165,10 @@
   /** Number of reports requested. */
   let reports = 0;
   let incarnation = createHostIncarnation(host, earlierLeaseMs);
+  let source: IncarnationId = {hostId: host.id, bornAt: incarnation.bornAt};
+  const namedEnds = createNamedEnds();
+  /** Incarnation that was known when a task was added. */
+  const placedOn = new Map<TaskRecord, HostIncarnation>();
   let address: HostAddress = {id: host.id, address: host.address};
   let isHolding = false;
   /** Number of hold calls that have failed in a row. */
@@ -185,7 +192,7 @@
     onRefused(task, cause) {
       log.info('start refused', {task: task.name, host: host.id, cause});
       onStartAnswered(task, false);
-      dropRun(task, cause);
+      dropRun(task, cause, true);
       onUpdate();
     },
     onFenced,
@@ -294,6 +301,7 @@
     const waitMs = waits && !hasUnstoredEnds() ? getHoldWaitMs() : 0;
     const sentAt = performance.now();
     const calledAddress = address;
+    if (seenEnd > 0) namedEnds.record(seenEnd, sentAt);
     const answer = await hosts.hold(calledAddress, {
       fence,
       seenEnd,
@@ -385,10 +393,17 @@
     };
     const task = tasks.get(end.task);
     if (task?.placement?.run !== end.run)
-      return onUnplacedEnd(end, acknowledge);
+      return onUnplacedEnd(end, getSource(), acknowledge);
     present.add(end.task);
     release(task);
-    onEnd(task, end, acknowledge);
+    onEnd(task, end, getSource(), acknowledge);
+  }
+
+  /** Returns one object for each incarnation, as each done task keeps it. */
+  function getSource(): IncarnationId {
+    const {bornAt} = incarnation;
+    if (source.bornAt !== bornAt) source = {hostId: host.id, bornAt};
+    return source;
   }
 
   /**
@@ -415,7 +430,8 @@
     const now = performance.now();
     if (now < (strayStopsAllowedAt.get(key) ?? 0)) return;
     strayStopsAllowedAt.set(key, now + STRAY_STOP_INTERVAL_MS);
-    log.warn('stray run', {task, run, host: host.id, decision: 'stop'});
+    const {bornAt} = incarnation;
+    log.warn('stray run', {task, run, host: host.id, bornAt, decision: 'stop'});
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
@@ -537,13 +553,26 @@
     for (const task of [...tasks.values()]) dropRun(task, 'lease expired');
   }
 
-  function dropRun(task: TaskRecord, cause: string): void {
+  function dropRun(task: TaskRecord, cause: string, isRefused = false): void {
+    const {placement} = task;
+    const loss =
+      placement &&
+      createRunLoss(placement, {
+        cause,
+        hostId: host.id,
+        isRefused,
+        placedOn: placedOn.get(task) ?? incarnation,
+        latest: incarnation,
+        namedEnds,
+        answeredAt,
+      });
     release(task);
-    onLost(task, cause);
+    onLost(task, cause, loss);
   }
 
   function release(task: TaskRecord): void {
     if (!tasks.delete(task.name)) return;
+    placedOn.delete(task);
     usage.remove(task);
     room.starting.delete(task);
     releaseRoom(room, task.step, task.group);
@@ -552,6 +581,7 @@
   function track(task: TaskRecord): void {
     if (tasks.has(task.name)) return;
     tasks.set(task.name, task);
+    placedOn.set(task, incarnation);
     usage.add(task);
   }
 
@@ -648,6 +678,7 @@
       if (!placement || !isCurrent(task, placement)) return;
       if (placement.stopping) return dropRun(task, 'stopped before start');
       placement.orderedAt = performance.now();
+      placement.isOrdered = true;
       startHolding();
       runInBackground(
         () => orders.start(task, placement, ticket),
--- a/src/actors/workflows/host_session_options.ts
+++ b/src/actors/workflows/host_session_options.ts
@@ -1,7 +1,12 @@
-import {OrganisationUsage, TaskRecord} from '../../decisions/workflows';
+import {
+  IncarnationId,
+  OrganisationUsage,
+  TaskRecord,
+} from '../../decisions/workflows';
 import {TaskHosts} from '../../ports/hosts';
 import {Log} from '../../telemetry';
 import {TaskEnd, TaskHost} from '../../types/workflow';
+import {RunLoss} from './run_loss';
 import {TermErrors} from './term_errors';
 
 /** Dependencies and settings of a host session. */
@@ -40,18 +45,27 @@
   readonly onEnd: (
     task: TaskRecord,
     end: TaskEnd,
+    source: IncarnationId,
     acknowledge: () => void,
   ) => void;
   /**
    * Called when the host reports the end of a run that is not placed on it;
    * `acknowledge` must be called once the result is stored.
    */
-  readonly onUnplacedEnd: (end: TaskEnd, acknowledge: () => void) => void;
+  readonly onUnplacedEnd: (
+    end: TaskEnd,
+    source: IncarnationId,
+    acknowledge: () => void,
+  ) => void;
   /**
    * Called when a run was never started, or has certainly stopped without
-   * reporting an end.
+   * reporting an end; `loss` is undefined if it has no placement.
    */
-  readonly onLost: (task: TaskRecord, cause: string) => void;
+  readonly onLost: (
+    task: TaskRecord,
+    cause: string,
+    loss: RunLoss | undefined,
+  ) => void;
   /**
    * Called when the host has crashed, with the tasks that were placed on it,
    * before their runs are dropped.
--- a/src/actors/workflows/key_check.ts
+++ b/src/actors/workflows/key_check.ts
@@ -2,6 +2,7 @@
 import {KeyRefusal, identifyCaller} from '../../decisions/workflows';
 import {Log} from '../../telemetry';
 import {Caller, FleetConfiguration, Queue} from '../../types/workflow';
+import {createLineLimit} from './line_limit';
 
 /** Identifies the callers of an entry host by their API keys. */
 export interface KeyCheck {
@@ -63,21 +64,11 @@
   onRefusal,
   log,
 }: KeyCheckOptions): KeyCheck {
-  let periodStart = -Infinity;
-  let lines = 0;
-  let omitted = 0;
+  const limit = createLineLimit(MAX_LINES, LINE_PERIOD_MS);
 
   function logRefusal(cause: KeyRefusal, call: KeyedCall, ageMs: number): void {
-    const now = performance.now();
-    if (now - periodStart >= LINE_PERIOD_MS) {
-      periodStart = now;
-      lines = 0;
-    }
-    if (lines >= MAX_LINES) {
-      omitted += 1;
-      return;
-    }
-    lines += 1;
+    const omitted = limit.admit();
+    if (omitted === undefined) return;
     log.info('key', {
       request: call.id,
       decision: 'refuse',
@@ -87,7 +78,6 @@
       configurationAgeMs: Math.round(ageMs),
       omitted,
     });
-    omitted = 0;
   }
 
   return {
--- a/src/actors/workflows/run_end_handler.ts
+++ b/src/actors/workflows/run_end_handler.ts
@@ -121,7 +121,6 @@
       const isLost = run === task.lostRun;
       const counts = kind === TaskEndKind.Failed && isLost;
       if (kind !== TaskEndKind.Done && !counts) return false;
-      log.info('late end', {task: task.name, run, how: kind, host: hostId});
       task.lostRun = 0;
       record.begun = true;
       if (counts) handleFailed(record, task, hostId);
--- a/src/actors/workflows/run_end_tracker.ts
+++ b/src/actors/workflows/run_end_tracker.ts
@@ -24,6 +24,13 @@
   getUnacknowledged(): number;
   /** Records that the host has received an acknowledgement. */
   markAcknowledged(number: number): void;
+  /** Returns the highest number of an accepted end; 0 before the first. */
+  getHighestAccepted(): number;
+  /**
+   * Returns the highest end number whose acknowledgement the host has received;
+   * 0 before the first.
+   */
+  getAcknowledged(): number;
   /** Returns the number of accepted ends that are not stored yet. */
   countUnstored(): number;
 }
@@ -37,6 +44,7 @@
   const listed = new Map<number, string>();
   const accepted = new Set<number>();
   const stored = new Set<number>();
+  let highestAccepted = 0;
   let storedUpTo = 0;
   let acknowledged = 0;
 
@@ -50,6 +58,7 @@
       if (number <= storedUpTo || accepted.has(number)) return false;
       listed.set(number, getRunKey(task, run));
       accepted.add(number);
+      highestAccepted = Math.max(highestAccepted, number);
       return true;
     },
     markStored(number) {
@@ -77,6 +86,8 @@
         if (each <= acknowledged) listed.delete(each);
       }
     },
+    getHighestAccepted: () => highestAccepted,
+    getAcknowledged: () => acknowledged,
     countUnstored: () => accepted.size,
   };
 }
--- a/src/actors/workflows/task_placer.ts
+++ b/src/actors/workflows/task_placer.ts
@@ -67,6 +67,8 @@
   readonly looksAhead: boolean;
   /** Called when a workflow cannot be handled; it must not be placed again. */
   readonly onInvalid: (record: WorkflowRecord, error: unknown) => void;
+  /** Called when the start of a stored placement is ordered. */
+  readonly onOrdered: (task: TaskRecord) => void;
   /** Stores a changed workflow and then calls `effect`. */
   readonly store: (record: WorkflowRecord, effect: () => void) => void;
   /** Returns the current Unix time in ms. */
@@ -95,6 +97,7 @@
   usage,
   looksAhead,
   onInvalid,
+  onOrdered,
   store,
   unixNow,
   log,
@@ -299,6 +302,7 @@
     store(record, () => {
       for (const {task, room} of placed) {
         const ticket = tickets.find(task.group, room.host.id) ?? '';
+        onOrdered(task);
         sessions.all.get(room.host.id)?.start(task, ticket);
       }
     });
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -10,6 +10,7 @@
 export * from './host_health';
 export * from './host_room';
 export * from './identify_caller';
+export * from './incarnation_id';
 export * from './key_refusal';
 export * from './host_speed';
 export * from './machine_view';
--- a/src/decisions/workflows/placement.ts
+++ b/src/decisions/workflows/placement.ts
@@ -7,6 +7,10 @@
   readonly bornAt: number;
   readonly address: string;
   readonly run: number;
+  /** Whether a start order may have been sent, by this or an earlier leader. */
+  isOrdered: boolean;
+  /** Whether an earlier leader has placed the run. */
+  isAdopted: boolean;
   /**
    * Whether the host has acknowledged the start order or listed the run in a
    * report.
--- a/src/decisions/workflows/task_record.ts
+++ b/src/decisions/workflows/task_record.ts
@@ -1,4 +1,5 @@
 import {Step, Workflow} from '../../types/workflow';
+import {IncarnationId} from './incarnation_id';
 import {Placement} from './placement';
 
 /** Phase of a task. */
@@ -36,6 +37,15 @@
    * end; 0 if there is none.
    */
   lostRun: number;
+  /**
+   * Number of the run whose end as done was reported first in this term; 0
+   * before.
+   */
+  doneRun: number;
+  /** Number of that end; 0 before. */
+  doneEnd: number;
+  /** Host that has reported it; undefined before. */
+  doneOn: IncarnationId | undefined;
   failures: number;
   /** Number of crashes of hosts that the task may have caused. */
   crashes: number;
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -243,6 +243,9 @@
     phase: TaskPhase.Waiting,
     run: 0,
     lostRun: 0,
+    doneRun: 0,
+    doneEnd: 0,
+    doneOn: undefined,
     failures: 0,
     crashes: 0,
     ownCrashes: 0,
@@ -284,6 +287,8 @@
     isWhole,
   );
   placement.lastUnsettledReport = 0;
+  placement.isOrdered = true;
+  placement.isAdopted = true;
   // The pace that an earlier leader ordered is unknown.
   placement.pace = -1;
   return placement;
@@ -303,6 +308,8 @@
     bornAt,
     address,
     run,
+    isOrdered: false,
+    isAdopted: false,
     confirmed: false,
     confirmedAt: now,
     listed: false,
--- a/src/telemetry/workflow_meter.ts
+++ b/src/telemetry/workflow_meter.ts
@@ -12,6 +12,11 @@
   countKeyRefusal(cause: string): void;
   /** Counts an error that no caller handled. */
   countUnexpectedError(activity: string): void;
+  /**
+   * Counts a task that is started again after a run that was given up without
+   * its end, by the cause of that.
+   */
+  countRunRestart(cause: string): void;
   /** Counts a write to the log's output that failed. */
   countLogFailure(): void;
   /** Counts an error of a server, such as of a connection not accepted. */
@@ -94,6 +99,12 @@
     labelNames: ['activity'],
     registers,
   });
+  const runRestarts = new Counter({
+    name: 'sesamefront_runs_started_again_total',
+    help: 'Tasks started again after a run without a known end, by cause.',
+    labelNames: ['cause'],
+    registers,
+  });
   const logFailures = new Counter({
     name: 'sesamefront_log_write_failures_total',
     help: "Writes to the log's output that failed.",
@@ -192,6 +203,7 @@
       calls.observe({target, call, outcome}, ms / 1_000),
     countKeyRefusal: cause => keyRefusals.inc({cause}),
     countUnexpectedError: activity => unexpectedErrors.inc({activity}),
+    countRunRestart: cause => runRestarts.inc({cause}),
     countLogFailure: () => logFailures.inc(),
     countServerError: server => serverErrors.inc({server}),
     countReload: outcome => reloads.inc({outcome}),
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -64,6 +64,11 @@
   readonly times: CoordinatorTimes;
   readonly log: Log;
   readonly errors: UnexpectedErrors;
+  /**
+   * Called with the cause when a task is started of which an earlier run was
+   * given up; from a small fixed set.
+   */
+  readonly onRunRestart: (cause: string) => void;
 }
 
 /**
@@ -164,6 +169,7 @@
   times,
   log,
   errors,
+  onRunRestart,
 }: WorkflowEntryHostOptions): WorkflowEntryHost {
   const store = guardPort(
     storePort,
@@ -263,6 +269,7 @@
         unixNow,
         log,
         errors: termErrors,
+        onRunRestart,
         onFenced: cause => leadership.resign(cause),
       });
       machineManager = createMachineManager({
