--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -1,5 +1,6 @@
 import {
   HostRoom,
+  IncarnationId,
   Placement,
   TaskRecord,
   createHostRoom,
@@ -22,9 +23,11 @@
   createNextIncarnation,
 } from './host_incarnation';
 import {HostSessionOptions} from './host_session_options';
+import {createNamedEnds} from './named_ends';
 import {createRecentEntries} from './recent_entries';
 import {RestartEvidence, findRestart} from './restart_evidence';
 import {getRunKey} from './run_key';
+import {createRunLoss} from './run_loss';
 import {createRunOrders} from './run_orders';
 
 /**
@@ -168,6 +171,10 @@
     earlierLeaseMs,
     unansweredStarts.list(host.id),
   );
+  let source: IncarnationId = {hostId: host.id, bornAt: incarnation.bornAt};
+  const namedEnds = createNamedEnds();
+  /** Incarnation that was known when a task was added. */
+  const placedOn = new Map<TaskRecord, HostIncarnation>();
   let address: HostAddress = {id: host.id, address: host.address};
   let isHolding = false;
   /** Number of hold calls that have failed in a row. */
@@ -193,7 +200,7 @@
     onRefused(task, cause) {
       log.info('start refused', {task: task.name, host: host.id, cause});
       onStartAnswered(task, false);
-      dropRun(task, cause);
+      dropRun(task, cause, true);
       onUpdate();
     },
     onFenced,
@@ -290,6 +297,7 @@
     reports += 1;
     const number = reports;
     const {reached, runEnds, connections} = incarnation;
+    const seenEnd = runEnds.getUnacknowledged();
     // After a failed call, do not extend the lease: if the answer is lost
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
@@ -300,11 +308,14 @@
     const calledAddress = address;
     const answer = await hosts.hold(calledAddress, {
       fence,
-      seenEnd: runEnds.getUnacknowledged(),
+      seenEnd,
       seenOn: connections,
       untilMs,
       waitMs,
     });
+    // A call without an answer may have acknowledged them.
+    const namedEnd = answer.isOk ? answer.value.seenEnd : seenEnd;
+    if (namedEnd > 0) namedEnds.record(namedEnd, sentAt);
     if (abort.signal.aborted) return true;
     failedHolds = answer.isErr ? failedHolds + 1 : 0;
     if (answer.isErr) {
@@ -391,10 +402,17 @@
     };
     const task = tasks.get(end.task);
     if (task?.placement?.run !== end.run)
-      return onUnplacedEnd(end, acknowledge);
+      return onUnplacedEnd(end, getSource(), acknowledge);
     present.add(end.task);
     release(task);
-    onEnd(task, end, acknowledge);
+    onEnd(task, end, getSource(), acknowledge);
+  }
+
+  /** Returns one object for each incarnation, as each done task keeps it. */
+  function getSource(): IncarnationId {
+    const {bornAt} = incarnation;
+    if (source.bornAt !== bornAt) source = {hostId: host.id, bornAt};
+    return source;
   }
 
   /**
@@ -421,7 +439,8 @@
     const now = performance.now();
     if (now < (strayStopsAllowedAt.get(key) ?? 0)) return;
     strayStopsAllowedAt.set(key, now + STRAY_STOP_INTERVAL_MS);
-    log.warn('stray run', {task, run, host: host.id, decision: 'stop'});
+    const {bornAt} = incarnation;
+    log.warn('stray run', {task, run, host: host.id, bornAt, decision: 'stop'});
     runInBackground(() => hosts.stop(address, {task, run, fence}), handleError);
   }
 
@@ -592,13 +611,26 @@
     return !clock.hasCertainlyExpiredOnNext();
   }
 
-  function dropRun(task: TaskRecord, cause: string): void {
+  function dropRun(task: TaskRecord, cause: string, isRefused = false): void {
+    const {placement} = task;
+    const loss =
+      placement &&
+      createRunLoss(placement, {
+        cause,
+        hostId: host.id,
+        isRefused,
+        placedOn: placedOn.get(task) ?? incarnation,
+        latest: incarnation,
+        namedEnds,
+        answeredAt,
+      });
     release(task);
-    onLost(task, cause);
+    onLost(task, cause, loss);
   }
 
   function release(task: TaskRecord): void {
     if (!tasks.delete(task.name)) return;
+    placedOn.delete(task);
     usage.remove(task);
     room.starting.delete(task);
     releaseRoom(room, task.step, task.group);
@@ -607,6 +639,7 @@
   function track(task: TaskRecord): void {
     if (tasks.has(task.name)) return;
     tasks.set(task.name, task);
+    placedOn.set(task, incarnation);
     usage.add(task);
   }
 
@@ -703,6 +736,7 @@
       if (!placement || !isCurrent(task, placement)) return;
       if (placement.stopping) return dropRun(task, 'stopped before start');
       placement.orderedAt = performance.now();
+      placement.isOrdered = true;
       startHolding();
       runInBackground(
         () => orders.start(task, placement, ticket),
