Play random histories of runs that are given up

The histories of restarts had no starved leader, no entries that lapse, no series of outages, and hosts that restart just before a start answered after it.

The new ones do: the leader reads its answers up to 2.4 s late while its timers go on, two outages 6 s apart lapse all entries and restart a part of the hosts, a host restarts just before it gets a start and falls silent, leaders are cut off or killed, answers are lost, orders are carried out late by the same incarnation. Checked are the run history, that the store holds each end that a host discards, and that accepted workflows end.

--- a/features/workflows/given_up_runs.feature
+++ b/features/workflows/given_up_runs.feature
@@ -19,3 +19,12 @@
       | outcome |
       | arrives |
       | is lost |
+
+  # Guards against runs that are given up while they may execute, and against ends
+  # that are acknowledged unstored, in an order of losses, starved leaders and
+  # series of outages that no other scenario has.
+  @promise-long-work @failure-crash @failure-partition @failure-store-down @failure-lost-answer
+  Scenario: Random histories of lost hosts, starved leaders and store outages
+    When 4 random histories of 16 losses and outages are played for each of the seeds 101, 112
+    Then they have restarts, lapses and takeovers
+    And no run was given up while it may execute, and each acknowledged end was stored
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -48,9 +48,15 @@
 /** Faults of an entry host's calls. */
 export interface CallFaults {
   /**
-   * Called before and after each call; what it throws is thrown by the call.
+   * Called before and after each call, with its parameters; what it throws is
+   * thrown by the call.
    */
-  onCall: (call: string) => void;
+  onCall: (call: string, parameters: readonly unknown[]) => void;
+  /**
+   * Time in ms by which the entry host reads each answer late, while its timers
+   * go on, as if it got no processor time.
+   */
+  answerDelayMs: number;
 }
 
 /** An entry host of a test deployment. */
@@ -292,7 +298,7 @@
     const faults = createStoreFaults();
     let storeCalls = 0;
     const errors: string[] = [];
-    const callFaults: CallFaults = {onCall: () => {}};
+    const callFaults: CallFaults = {onCall: () => {}, answerDelayMs: 0};
     const hook = <P extends object>(port: P) => hookCalls(port, callFaults);
     const member: TestMember = {
       id,
@@ -443,11 +449,13 @@
   const hooked = Object.entries(port).map(([name, call]) => [
     name,
     (...parameters: unknown[]) => {
-      callFaults.onCall(name);
+      callFaults.onCall(name, parameters);
       const result = call(...parameters);
       if (!(result instanceof Promise)) return result;
-      return result.then(value => {
-        callFaults.onCall(name);
+      return result.then(async value => {
+        callFaults.onCall(name, parameters);
+        const {answerDelayMs} = callFaults;
+        if (answerDelayMs > 0) await delay(answerDelayMs);
         return value;
       });
     },
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -36,6 +36,8 @@
    * to its earlier incarnation.
    */
   ordersOutliveHosts: boolean;
+  /** Whether another host answers at the earlier address of one that has moved. */
+  reusesAddresses: boolean;
 }
 
 /** Stand-in hosts and machines in memory, without any transport. */
@@ -160,6 +162,7 @@
     lostHolds: 0,
     delayedOrders: {share: 0, afterMs: 0},
     ordersOutliveHosts: false,
+    reusesAddresses: false,
   };
   let hostCount = 0;
   let startsOnEndedHosts = 0;
@@ -249,7 +252,11 @@
     if (isPartitioned() || faults.silent.has(id) || !host) return timeOut();
     if (endedHosts.has(host)) return Result.err(getFailure(host));
     if (address !== host.host.address) {
-      return Result.err(HostCallFailure.Unreachable);
+      return Result.err(
+        faults.reusesAddresses
+          ? HostCallFailure.Replaced
+          : HostCallFailure.Unreachable,
+      );
     }
     if (isOrder && random() < faults.delayedOrders.share) {
       setTimeout(() => {
