Apply the end of a run before anything is learnt from it

What callers would see: a done task runs again after the next change of leader (TWICE), or a task runs more often than it may (BUDGET).

Cause: an error while an end is handled sets its workflow aside, and the record is stored as it is at that moment; then the end is acknowledged. The run's time and the host's health were recorded before the task became done, so an error there lost the end. After an error in the handling of a late end the record was not even stored.

Evidence: by reading; no such error was seen. The new scenario, in which what is learnt throws, fails before: the task is placed instead of done, and the workflow is pending instead of failed.

Change: the record is changed first. After an error the handling of a late end counts as a change.

--- a/features/workflows/errors.feature
+++ b/features/workflows/errors.feature
@@ -137,3 +137,15 @@
     And a report of one host adds 60000 ends of unknown runs
     Then the leader was busy for less than 2 s at a time
     And it is "completed" within 5 s
+
+  # Guards against an end that is acknowledged without its effect because an
+  # error occurs between the two
+  @promise-long-work
+  Scenario Outline: An error in what is learnt from the end of a run does not lose the end
+    When a run of the only task of a workflow with one attempt ends as <kind>, and what is learnt from it throws
+    Then its task is <phase>, and the workflow is <state>
+
+    Examples:
+      | kind   | phase   | state     |
+      | done   | done    | completed |
+      | failed | waiting | failed    |
--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -468,7 +468,8 @@
     const record = records.get(end.task.split('.')[0]);
     const task = record && findTask(record, end.task);
     if (!record || !task) return acknowledge();
-    let isChanged = false;
+    // After an error, the record may have changed.
+    let isChanged = true;
     contain(record, () => {
       isChanged = runEnds.handleLate(record, task, end, hostId);
     });
--- a/src/actors/workflows/run_end_handler.ts
+++ b/src/actors/workflows/run_end_handler.ts
@@ -1,4 +1,5 @@
 import {
+  Placement,
   RunTimes,
   TaskPhase,
   TaskRecord,
@@ -68,6 +69,7 @@
   ): void {
     task.failures += 1;
     task.avoid.add(hostId);
+    finishIfExhausted(record, task);
     hostHealth.recordFailure(task, hostId);
     log.info('run failed', {
       request: record.workflow.id,
@@ -76,6 +78,9 @@
       host: hostId,
       failures: task.failures,
     });
+  }
+
+  function finishIfExhausted(record: WorkflowRecord, task: TaskRecord): void {
     if (task.step.lasting || isFinal(record.state)) return;
     const failures = task.step.gang
       ? listMembers(record, task).reduce((sum, each) => sum + each.failures, 0)
@@ -89,24 +94,29 @@
     }
   }
 
+  function learn(task: TaskRecord, placement: Placement): void {
+    const actualMs = performance.now() - placement.orderedAt;
+    const {step, workflow} = task;
+    hostHealth.recordDone(task, placement);
+    if (placement.isWhole && !step.lasting) {
+      runTimes.observe(workflow.queue, step, actualMs);
+    }
+  }
+
   return {
     handle(record, task, end) {
-      log.debug('run ended', {task: task.name, run: task.run, how: end.kind});
       const {placement} = task;
       record.begun = true;
       task.placement = undefined;
       if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
       if (end.kind === TaskEndKind.Done) {
-        if (placement) {
-          const actualMs = performance.now() - placement.orderedAt;
-          const {step, workflow} = task;
-          hostHealth.recordDone(task, placement);
-          if (placement.isWhole && !step.lasting) {
-            runTimes.observe(workflow.queue, step, actualMs);
-          }
-        }
-        return handleDone(record, task);
+        // The end is acknowledged even if something else throws.
+        handleDone(record, task);
+        log.debug('run ended', {task: task.name, run: task.run, how: end.kind});
+        if (placement) learn(task, placement);
+        return;
       }
+      log.debug('run ended', {task: task.name, run: task.run, how: end.kind});
       // A gang member that was completed by another member's end stays done.
       if (task.phase === TaskPhase.Done) return;
       task.phase = TaskPhase.Waiting;
@@ -121,11 +131,11 @@
       const isLost = run === task.lostRun;
       const counts = kind === TaskEndKind.Failed && isLost;
       if (kind !== TaskEndKind.Done && !counts) return false;
-      log.info('late end', {task: task.name, run, how: kind, host: hostId});
       task.lostRun = 0;
       record.begun = true;
       if (counts) handleFailed(record, task, hostId);
       else handleDone(record, task);
+      log.info('late end', {task: task.name, run, how: kind, host: hostId});
       return true;
     },
   };
