Give up no host for an answer from its earlier address

What callers saw: a pool whose only host has moved runs nothing for the rest of the term; runs that the host has just been given start elsewhere too.

Cause: after 421 from the address of a host, its incarnation counts as ended. The check that the host has reported at this address looked at its present address, not at the one that was called. So an order to the earlier address that is refused late ended the incarnation that had reported at the new one meanwhile. A host that is gone is opened again only with another birth.

Change: the refusal counts only if the called address is the one at which the present incarnation has reported.

--- a/features/workflows/given_up_runs.feature
+++ b/features/workflows/given_up_runs.feature
@@ -20,6 +20,16 @@
       | arrives |
       | is lost |
 
+  # Guards against a host that is given up, and not used again, because another
+  # one refuses an order at the address that it had before.
+  @promise-long-work @failure-crash
+  Scenario: An order to the earlier address of a host is refused after it has reported at another one
+    Given 3 entry hosts and 1 hosts for workflows
+    When the next start goes to the earlier address of a host that has just moved, where another one refuses it after 700 ms
+    And a workflow of 2 tasks of 500 ms is submitted
+    Then it is "completed" within 12 s
+    And the run history has no violations
+
   # Guards against runs that are given up while they may execute, and against ends
   # that are acknowledged unstored, in an order of losses, starved leaders and
   # series of outages that no other scenario has.
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -304,7 +304,7 @@
     if (abort.signal.aborted) return true;
     failedHolds = answer.isErr ? failedHolds + 1 : 0;
     if (answer.isErr) {
-      handleFailure('hold', answer.error, sentAt);
+      handleFailure('hold', answer.error, sentAt, calledAddress);
       return false;
     }
     const report = answer.value;
@@ -493,6 +493,7 @@
     call: string,
     failure: HostCallFailure,
     sentAt: number,
+    called: HostAddress,
   ): void {
     // If the host has answered another call since, only this call was lost.
     const lost = failure === HostCallFailure.NoAnswer && answeredAt > sentAt;
@@ -501,9 +502,11 @@
       log.warn('host lost', {host: host.id, pool: host.pool, call, failure});
     }
     suspectUntil = performance.now() + SUSPECT_DURATION_MS;
-    // At an address where it has not reported yet, another host says nothing
-    // about it.
-    const isKnownAddress = address.address === incarnation.address;
+    // At an address where it has not reported yet, or was before, another host
+    // says nothing about it.
+    const isKnownAddress = [address, called].every(
+      each => each.address === incarnation.address,
+    );
     if (failure === HostCallFailure.Replaced && isKnownAddress) {
       handleGone(
         'another host incarnation answers at its address',
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -57,12 +57,13 @@
   ) => void;
   /**
    * Called when a call got no answer from the intended host incarnation.
-   * `sentAt` is the monotonic time of the call in ms.
+   * `sentAt` is the monotonic time of the call in ms, `called` its address.
    */
   readonly onFailure: (
     call: string,
     failure: HostCallFailure,
     sentAt: number,
+    called: HostAddress,
   ) => void;
   /** Called when all reports requested from now on list the run or its end. */
   readonly onSettled: (placement: Placement) => void;
@@ -126,7 +127,8 @@
       }
       incarnation.clock.recordLease(untilMs);
       sentAt = performance.now();
-      const answer = await hosts.start(getAddress(), {
+      const address = getAddress();
+      const answer = await hosts.start(address, {
         task: task.name,
         run: placement.run,
         spec: task.workflow.spec,
@@ -147,7 +149,7 @@
         }
         return handleRefusal(task, placement, unanswered, refusal);
       }
-      onFailure('start', answer.error, sentAt);
+      onFailure('start', answer.error, sentAt, address);
       if (answer.error !== HostCallFailure.NoAnswer) {
         return handleRefusal(task, placement, unanswered, answer.error);
       }
@@ -176,7 +178,8 @@
     while (isCurrent(task, placement)) {
       const sentAt = performance.now();
       const incarnation = getIncarnation();
-      const answer = await hosts.stop(getAddress(), {
+      const address = getAddress();
+      const answer = await hosts.stop(address, {
         task: task.name,
         run: placement.run,
         fence,
@@ -188,7 +191,7 @@
         placement.stoppedAt = performance.now();
         return onSettled(placement);
       }
-      onFailure('stop', answer.error, sentAt);
+      onFailure('stop', answer.error, sentAt, address);
       await delay(RETRY_MS, signal);
     }
   }
