--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -469,10 +469,8 @@
       runLog.recordUnknownEnd(record, end, source);
       return acknowledge();
     }
-    contain(record, () => {
-      runLog.recordEnd(task, end, source, true);
-      runEnds.handle(record, task, end);
-    });
+    contain(record, () => runLog.recordEnd(task, end, source, true));
+    contain(record, () => runEnds.handle(record, task, end));
     ledger?.store(record, acknowledge);
     schedulePlacement();
   }
@@ -492,9 +490,10 @@
       runLog.recordUnknownEnd(record, end, source);
       return acknowledge();
     }
-    let isChanged = false;
+    // After an error, the record may have changed.
+    let isChanged = true;
+    contain(record, () => runLog.recordEnd(task, end, source, false));
     contain(record, () => {
-      runLog.recordEnd(task, end, source, false);
       isChanged = runEnds.handleLate(record, task, end, source.hostId);
     });
     // A later run of a task that is done is not needed.
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -319,7 +319,7 @@
     if (abort.signal.aborted) return true;
     failedHolds = answer.isErr ? failedHolds + 1 : 0;
     if (answer.isErr) {
-      handleFailure('hold', answer.error, sentAt);
+      handleFailure('hold', answer.error, sentAt, calledAddress);
       return false;
     }
     const report = answer.value;
@@ -511,13 +511,16 @@
    */
   async function rejectLateStarts(): Promise<boolean> {
     const called = incarnation;
+    const calledAddress = address;
     const {lateStarts} = called;
     log.info('late starts', {host: host.id, runs: lateStarts.size});
     const calls = [...lateStarts].map(async ([key, {task, run}]) => {
       const sentAt = performance.now();
-      const answer = await hosts.stop(address, {task, run, fence});
+      const answer = await hosts.stop(calledAddress, {task, run, fence});
       if (abort.signal.aborted) return;
-      if (answer.isErr) return handleFailure('stop', answer.error, sentAt);
+      if (answer.isErr) {
+        return handleFailure('stop', answer.error, sentAt, calledAddress);
+      }
       handleOrderAnswer(answer.value, called, sentAt);
       if (answer.value.refusal === HostRefusal.Fenced) return onFenced();
       lateStarts.delete(key);
@@ -553,6 +556,7 @@
     call: string,
     failure: HostCallFailure,
     sentAt: number,
+    called: HostAddress,
   ): void {
     // If the host has answered another call since, only this call was lost.
     const lost = failure === HostCallFailure.NoAnswer && answeredAt > sentAt;
@@ -561,9 +565,11 @@
       log.warn('host lost', {host: host.id, pool: host.pool, call, failure});
     }
     suspectUntil = performance.now() + SUSPECT_DURATION_MS;
-    // At an address where it has not reported yet, another host says nothing
-    // about it.
-    const isKnownAddress = address.address === incarnation.address;
+    // At an address where it has not reported yet, or was before, another host
+    // says nothing about it.
+    const isKnownAddress = [address, called].every(
+      each => each.address === incarnation.address,
+    );
     if (failure === HostCallFailure.Replaced && isKnownAddress) {
       handleGone(
         'another host incarnation answers at its address',
--- a/src/actors/workflows/run_orders.ts
+++ b/src/actors/workflows/run_orders.ts
@@ -60,12 +60,13 @@
   ) => void;
   /**
    * Called when a call got no answer from the intended host incarnation.
-   * `sentAt` is the monotonic time of the call in ms.
+   * `sentAt` is the monotonic time of the call in ms, `called` its address.
    */
   readonly onFailure: (
     call: string,
     failure: HostCallFailure,
     sentAt: number,
+    called: HostAddress,
   ) => void;
   /** Called when all reports requested from now on list the run or its end. */
   readonly onSettled: (placement: Placement) => void;
@@ -155,7 +156,7 @@
         }
         return handleRefusal(task, placement, unanswered, refusal);
       }
-      onFailure('start', answer.error, sentAt);
+      onFailure('start', answer.error, sentAt, address);
       if (answer.error !== HostCallFailure.NoAnswer) {
         return handleRefusal(task, placement, unanswered, answer.error);
       }
@@ -183,7 +184,8 @@
     while (isCurrent(task, placement)) {
       const sentAt = performance.now();
       const incarnation = getIncarnation();
-      const answer = await hosts.stop(getAddress(), {
+      const address = getAddress();
+      const answer = await hosts.stop(address, {
         task: task.name,
         run: placement.run,
         fence,
@@ -195,7 +197,7 @@
         placement.stoppedAt = performance.now();
         return onSettled(placement);
       }
-      onFailure('stop', answer.error, sentAt);
+      onFailure('stop', answer.error, sentAt, address);
       await delay(RETRY_MS, signal);
     }
   }
