Reckon with late orders when a restarted host is lost

What callers see: a task is started elsewhere while it still runs (TWICE).

Cause: the next incarnation of a host takes the lease from a late order even if it rejects the run, and cuts it to the longest lease from that moment on. The leader reckoned with the longest lease from the restart on, so only with calls that had already arrived.

Change: while start orders have no answer, the time until they can be carried out is added.

Evidence: the new scenario failed on: overlap for 8 tasks, run 2 on host-2 at 33 s while run 1 ran on host-1 until 37.5 s, its lease extended to 41 s.

What remains: a hold call without an answer extends the lease in the same way if the next incarnation carries it out late, and so does an order to a host whose session was closed and opened again in between.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -169,6 +169,26 @@
     Then all are "completed" within 8 s
     And the run history has no violations
 
+  # Guards against a task that is started elsewhere while it still runs: an order
+  # without an answer has extended the lease on the next incarnation.
+  @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A start order without an answer reaches a host that has restarted and is lost
+    Given 3 entry hosts and 2 hosts for workflows
+    When 20 s pass
+    And 100 of 100 orders to hosts are carried out 10000 ms late without an answer
+    And late orders reach a host that has restarted meanwhile
+    And a workflow of 20 tasks of 300 ms is submitted
+    And 500 ms pass
+    And 0 of 100 orders to hosts are carried out 0 ms late without an answer
+    Then all are "completed" within 3 s
+    When the host with the most runs crashes and is back under its id after 200 ms
+    And a workflow of 16 tasks of 4000 ms is submitted
+    And a workflow of 8 tasks of 15000 ms is submitted
+    And 3 s pass
+    And the host that has restarted stops answering but keeps running
+    Then all are "completed" within 60 s
+    And the run history has no violations
+
   # Guards against ends that are lost, or followed by another start, in an order
   # of restarts, outages and takeovers that no other scenario has.
   @promise-long-work @failure-crash @failure-store-down @failure-lost-answer
--- a/src/actors/workflows/host_incarnation.ts
+++ b/src/actors/workflows/host_incarnation.ts
@@ -1,5 +1,5 @@
 import {TaskHost} from '../../types/workflow';
-import {HostClock, MIN_CLOCK_RATE, createHostClock} from './host_clock';
+import {HostClock, createHostClock} from './host_clock';
 import {RunEndTracker, createRunEndTracker} from './run_end_tracker';
 import {RunName} from './unanswered_starts';
 
@@ -52,21 +52,22 @@
 
 /**
  * Creates the state of an incarnation that has replaced another one during the
- * session. Calls to the earlier one may have reached it, with times of another
- * clock, which it has cut to the maximum length of a lease.
+ * session. Calls to the earlier one may reach it, with times of another clock,
+ * which it cuts to the maximum length of a lease.
  *
  * @param bornAt Unix time in ms at which it started
  * @param address address at which it has reported
- * @param maxLeaseMs maximum length in ms of a lease that hosts accept
+ * @param misdirectedLeaseMs maximum remaining time in ms of leases that such
+ *     calls grant
  * @param lateStarts runs, by key, that earlier orders may still start
  */
 export function createNextIncarnation(
   bornAt: number,
   address: string,
-  maxLeaseMs: number,
+  misdirectedLeaseMs: number,
   lateStarts: ReadonlyMap<string, RunName>,
 ): HostIncarnation {
-  const clock = createHostClock(0, maxLeaseMs / MIN_CLOCK_RATE);
+  const clock = createHostClock(0, misdirectedLeaseMs);
   return create(bornAt, address, clock, lateStarts);
 }
 
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -15,6 +15,7 @@
 } from '../../ports/hosts';
 import {delay, runInBackground} from '../../state';
 import {TaskEnd, TaskHost} from '../../types/workflow';
+import {MIN_CLOCK_RATE} from './host_clock';
 import {HostEnd} from './host_end';
 import {
   HostIncarnation,
@@ -472,7 +473,7 @@
     incarnation = createNextIncarnation(
       bornAt,
       answeredFrom,
-      maxLeaseMs,
+      unansweredStarts.getMaxDelayMs(host.id) + maxLeaseMs / MIN_CLOCK_RATE,
       unansweredStarts.list(host.id),
     );
   }
