--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -16,6 +16,7 @@
 } from '../../ports/hosts';
 import {delay, runInBackground} from '../../state';
 import {TaskEnd, TaskHost} from '../../types/workflow';
+import {MIN_CLOCK_RATE} from './host_clock';
 import {HostEnd} from './host_end';
 import {
   HostIncarnation,
@@ -491,6 +492,7 @@
       bornAt,
       answeredFrom,
       maxLeaseMs,
+      unansweredStarts.getMaxDelayMs(host.id) + maxLeaseMs / MIN_CLOCK_RATE,
       unansweredStarts.list(host.id),
     );
   }
