--- a/features/workflows/acknowledged_ends.feature
+++ b/features/workflows/acknowledged_ends.feature
@@ -5,7 +5,7 @@
   # Guards against ends of a restarted host that are acknowledged unread: no answer
   # is lost, but the leader has no processor time to read the one that shows the
   # restart.
-  @known-red @promise-long-work @failure-crash @failure-store-slow
+  @promise-long-work @failure-crash @failure-store-slow
   Scenario: A host restarts between two reports, and the leader reads the answer to its first start late
     Given 3 entry hosts and 1 hosts for workflows
     When 10 workflows of 6 tasks are submitted
