--- a/features/platform/service_answers.feature
+++ b/features/platform/service_answers.feature
@@ -124,3 +124,10 @@
     When the host has closed its connections
     And a client calls "hold" and acknowledges the ends of the report
     Then the host has received no acknowledgement, as the report says
+
+  # Guards against hold calls that fail unsent because the connection on which they
+  # waited has just closed: the host then counts as lost.
+  Scenario: A hold call that waits for a connection is sent although that one closes
+    Given a host that lists its ends and leaves orders unanswered
+    When a client calls "hold" while two orders use both connections, and acknowledges the ends of the report
+    Then the host has received no acknowledgement, as the report says
--- a/features/platform/service_answers.steps.ts
+++ b/features/platform/service_answers.steps.ts
@@ -17,6 +17,8 @@
 const INTERIM_INTERVAL_MS = 100;
 /** Number of small pieces that are sent at once. */
 const PIECES = 5_000;
+/** Wait of a hold call in ms, so that it outlasts an order without an answer. */
+const HOLD_WAIT_MS = 1_000;
 const CHUNK = 'x'.repeat(1_000_000);
 const ORDER = {task: '5c0e7a21d94b36f8.0.0.0', run: 1, fence: 1};
 const HOLD = {
@@ -167,6 +169,26 @@
   },
 );
 
+Given('a host that lists its ends and leaves orders unanswered', async () => {
+  hosts = createPlatformTaskHosts();
+  await startHost('/-/hold');
+  const report = await hosts.hold({id: 'i-1', address}, HOLD);
+  assert.ok(report.isOk);
+  seenOn = new WeakSet([report.value.connection]);
+});
+
+When(
+  'a client calls "hold" while two orders use both connections, and acknowledges the ends of the report',
+  async () => {
+    acknowledged = 0;
+    const host = {id: 'i-1', address};
+    const orders = [hosts.start(host, START), hosts.start(host, START)];
+    const request = {...HOLD, waitMs: HOLD_WAIT_MS, seenEnd: 5, seenOn};
+    answer = await hosts.hold(host, request);
+    await Promise.all(orders);
+  },
+);
+
 Given('a host that lists its ends', async () => {
   hosts = createPlatformTaskHosts();
   await startHost();
@@ -175,11 +197,16 @@
   seenOn = new WeakSet([report.value.connection]);
 });
 
-/** Starts a host that keeps the last acknowledgement that it has received. */
-async function startHost(): Promise<void> {
+/**
+ * Starts a host that keeps the last acknowledgement that it has received.
+ *
+ * @param answeredPath start of the paths that it answers
+ */
+async function startHost(answeredPath = '/'): Promise<void> {
   server = createServer(async (request, response) => {
     let text = '';
     for await (const chunk of request) text += String(chunk);
+    if (!request.url?.startsWith(answeredPath)) return;
     acknowledged = (JSON.parse(text) as {lastSeen: number}).lastSeen;
     response.end('{"clockMs":5,"running":[],"ended":[]}');
   });
