Notice the restart of a host without tasks while start orders have no answer

What callers saw: a done task starts again, in an outage of the store or if the host gives the birth that it had: a copy of its order is carried out by the next incarnation.

Cause: a host without tasks isn't held. Its restart is then known from the registry only, which tells nothing while the store is away or the birth is the same, so the incarnation isn't told to reject the run.

Change: a host is held while start orders to it have no answer, for 15 s at most. The orders are kept by host, as this is asked before each hold call. `late starts` is a warning with the term.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -150,6 +150,21 @@
     And 6 s pass
     Then the run history has no violations
 
+  # Guards against a restart that goes unnoticed because the host has no tasks and
+  # its new entry doesn't tell: an order without an answer is then carried out.
+  @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A host without tasks restarts with the same birth before a start order without an answer is carried out
+    Given 3 entry hosts and 1 hosts for workflows
+    When 100 of 100 orders to hosts are carried out 5000 ms late without an answer
+    And late orders reach a host that has restarted meanwhile
+    And a workflow of 1 tasks of 300 ms is submitted
+    And 500 ms pass
+    And 0 of 100 orders to hosts are carried out 0 ms late without an answer
+    Then all are "completed" within 3 s
+    When the host with the most runs crashes and is back after 200 ms with the same birth
+    And 6 s pass
+    Then the run history has no violations
+
   # Guards against two runs of a task at a time: one that was placed after a
   # restart, and one of an earlier order that got no answer.
   @promise-long-work @failure-crash @failure-lost-answer
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -251,10 +251,18 @@
   function needsHold(): boolean {
     if (gone) return false;
     const {reached, runEnds} = incarnation;
-    if (tasks.size > 0 || runEnds.getUnacknowledged() > 0) return true;
+    if (isInUse() || runEnds.getUnacknowledged() > 0) return true;
     return !reached && registered;
   }
 
+  /**
+   * An order without an answer may be carried out by the next incarnation, so a
+   * restart has to be noticed also while the host has no tasks.
+   */
+  function isInUse(): boolean {
+    return tasks.size > 0 || unansweredStarts.has(host.id);
+  }
+
   /**
    * Waits until received ends are stored; until they are acknowledged, the host
    * would report them again immediately.
@@ -303,7 +311,7 @@
     // again, the extension would postpone the time at which the lease has
     // certainly expired.
     const untilMs = failedHolds > 0 ? undefined : nextLease();
-    const waits = tasks.size > 0 && reached && untilMs !== undefined;
+    const waits = isInUse() && reached && untilMs !== undefined;
     const waitMs = waits && !hasUnstoredEnds() ? getHoldWaitMs() : 0;
     const sentAt = performance.now();
     const calledAddress = address;
@@ -523,7 +531,7 @@
     const called = incarnation;
     const calledAddress = address;
     const {lateStarts} = called;
-    log.info('late starts', {host: host.id, runs: lateStarts.size});
+    log.warn('late starts', {host: host.id, runs: lateStarts.size, fence});
     const calls = [...lateStarts].map(async ([key, {task, run}]) => {
       const sentAt = performance.now();
       const answer = await hosts.stop(calledAddress, {task, run, fence});
--- a/src/actors/workflows/unanswered_starts.ts
+++ b/src/actors/workflows/unanswered_starts.ts
@@ -10,6 +10,8 @@
   add(hostId: string, run: RunName): void;
   /** Removes a run all of whose start orders were answered. */
   remove(hostId: string, run: RunName): void;
+  /** Returns whether an order may still start a run on a host. */
+  has(hostId: string): boolean;
   /** Returns the runs, by key, that an order may still start on a host. */
   list(hostId: string): ReadonlyMap<string, RunName>;
   /**
@@ -23,7 +25,6 @@
 export type RunName = Pick<RunOrder, 'task' | 'run'>;
 
 interface Start {
-  readonly hostId: string;
   readonly name: RunName;
   /** Monotonic time of the last order in ms. */
   readonly sentAt: number;
@@ -31,45 +32,52 @@
 
 /** Maximum time in ms from an order to the moment at which it is carried out. */
 const MAX_ORDER_DELAY_MS = 15_000;
-/** Number of runs above which the oldest one is removed. */
-const MAX_RUNS = 50_000;
+/** Number of runs of a host above which the oldest one is removed. */
+const MAX_RUNS = 1_000;
 
 /** Creates an empty collection. */
 export function createUnansweredStarts(): UnansweredStarts {
-  /** By host and run, in the order in which their last orders were sent. */
-  const starts = new Map<string, Start>();
-
-  const getKey = (hostId: string, {task, run}: RunName) =>
-    `${hostId} ${getRunKey(task, run)}`;
+  /**
+   * Starts by host and run key, each in the order in which the last orders were
+   * sent.
+   */
+  const hosts = new Map<string, Map<string, Start>>();
 
-  function removeOld(): void {
+  function readCurrent(hostId: string): ReadonlyMap<string, Start> {
+    const starts = hosts.get(hostId) ?? new Map<string, Start>();
     const oldestAt = performance.now() - MAX_ORDER_DELAY_MS;
     for (const [key, {sentAt}] of starts) {
-      if (sentAt >= oldestAt && starts.size <= MAX_RUNS) return;
+      if (sentAt >= oldestAt && starts.size <= MAX_RUNS) break;
       starts.delete(key);
     }
-  }
-
-  function listStarts(hostId: string): readonly Start[] {
-    removeOld();
-    return [...starts.values()].filter(start => start.hostId === hostId);
+    if (starts.size === 0) hosts.delete(hostId);
+    return starts;
   }
 
   return {
     add(hostId, {task, run}) {
-      const name = {task, run};
-      const key = getKey(hostId, name);
+      const starts = hosts.get(hostId) ?? new Map<string, Start>();
+      const key = getRunKey(task, run);
       starts.delete(key);
-      starts.set(key, {hostId, name, sentAt: performance.now()});
-      removeOld();
+      starts.set(key, {name: {task, run}, sentAt: performance.now()});
+      hosts.delete(hostId);
+      hosts.set(hostId, starts);
+      readCurrent(hostId);
+      const [leastRecent] = hosts.keys();
+      readCurrent(leastRecent);
+    },
+    remove(hostId, {task, run}) {
+      const starts = hosts.get(hostId);
+      starts?.delete(getRunKey(task, run));
+      if (starts?.size === 0) hosts.delete(hostId);
     },
-    remove: (hostId, name) => void starts.delete(getKey(hostId, name)),
+    has: hostId => readCurrent(hostId).size > 0,
     list(hostId) {
-      const names = listStarts(hostId).map(({name}) => name);
-      return new Map(names.map(name => [getRunKey(name.task, name.run), name]));
+      const starts = [...readCurrent(hostId)];
+      return new Map(starts.map(([key, {name}]) => [key, name]));
     },
     getMaxDelayMs(hostId) {
-      const last = listStarts(hostId).at(-1);
+      const last = [...readCurrent(hostId).values()].at(-1);
       if (!last) return 0;
       return last.sentAt + MAX_ORDER_DELAY_MS - performance.now();
     },
