Stop a cancelled run again that the next incarnation of its host has started

What callers saw: a task works on after its cancellation was acknowledged (UNASKED), until its lease is no longer extended. Found by review.

Cause: the stop of a run counts as given once a host has answered it. If the host restarts before it has listed the end, and a start order without an answer is carried out there, the run is listed as the current one, and no stop follows.

Change: a run that is still listed when its stop should be over is stopped again.

--- a/features/workflows/host_restarts.feature
+++ b/features/workflows/host_restarts.feature
@@ -165,6 +165,15 @@
     And 6 s pass
     Then the run history has no violations
 
+  # Guards against a task that runs on after its cancellation: the stop was answered
+  # by the earlier incarnation, and the next one has started the run again.
+  @promise-long-work @failure-crash @failure-lost-answer
+  Scenario: A host restarts after a stop, before a start order without an answer is carried out
+    Given 3 entry hosts and 1 hosts for workflows
+    When a task is cancelled whose first start order is still to be carried out, and its host restarts before that
+    And 4 s pass
+    Then nothing runs on the host
+
   # Guards against two runs of a task at a time: one that was placed after a
   # restart, and one of an earlier order that got no answer.
   @promise-long-work @failure-crash @failure-lost-answer
--- a/features/workflows/host_restarts.steps.ts
+++ b/features/workflows/host_restarts.steps.ts
@@ -4,6 +4,7 @@
 import {advance, advanceUntil, seedRandom} from '../support/paused_clock';
 import {IncarnationReport, playIncarnations} from './incarnation_histories';
 import {findBusiestMachine, getWorld} from './running.steps';
+import {createSpec} from './workflow_world';
 
 let reports: IncarnationReport[] = [];
 
@@ -101,6 +102,33 @@
   },
 );
 
+When(
+  'a task is cancelled whose first start order is still to be carried out, and its host restarts before that',
+  async () => {
+    const {fleet, members, submit, cancel} = getWorld();
+    const [machine] = fleet.machines.keys();
+    const isRunning = () => fleet.getHost(machine)?.listRuns().length === 1;
+    fleet.faults.ordersOutliveHosts = true;
+    fleet.faults.delayedOrders = {share: 1, afterMs: 1_500};
+    const orderedAt = performance.now();
+    const {id} = await submit(members[0], {spec: createSpec({workMs: 60_000})});
+    await advance(500);
+    fleet.faults.delayedOrders = {share: 0, afterMs: 0};
+    assert.ok(await advanceUntil(isRunning, 3_000));
+    await advance(orderedAt + 1_380 - performance.now());
+    void cancel(members[0], id);
+    await advance(60);
+    fleet.crash(machine, false);
+    fleet.restart(machine);
+  },
+);
+
+Then('nothing runs on the host', () => {
+  const {fleet} = getWorld();
+  const [machine] = fleet.machines.keys();
+  assert.deepEqual(fleet.getHost(machine)?.listRuns(), []);
+});
+
 When('the host that has restarted stops answering but keeps running', () => {
   const {fleet} = getWorld();
   const host = fleet.getHost(restarted);
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -399,6 +399,11 @@
     placement.listed = true;
     task.hasBeenListed = true;
     room.starting.delete(task);
+    if (placement.stopping && isStopOver(placement)) {
+      // The stop was carried out by an earlier incarnation.
+      placement.stoppedAt = 0;
+      sendStop(task, placement);
+    }
     onBegun(task);
     placement.seenAt = performance.now();
     if (running.percent !== placement.percent) {
