Ask for unanswered starts without work while there are none

A hold call and each report asked for the unanswered start orders of the host, and made a key for each run. Both now return at once if there are none.

--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -521,6 +521,7 @@
   /** A run that the incarnation lists needs no order: it has been started. */
   function hasLateStarts({running}: HoldReport): boolean {
     const {lateStarts} = incarnation;
+    if (lateStarts.size === 0) return false;
     for (const {task, run} of running) lateStarts.delete(getRunKey(task, run));
     return lateStarts.size > 0;
   }
--- a/src/actors/workflows/unanswered_starts.ts
+++ b/src/actors/workflows/unanswered_starts.ts
@@ -35,6 +35,8 @@
 /** Number of runs of a host above which the oldest one is removed. */
 const MAX_RUNS = 1_000;
 
+const NO_STARTS: ReadonlyMap<string, Start> = new Map();
+
 /** Creates an empty collection. */
 export function createUnansweredStarts(): UnansweredStarts {
   /**
@@ -44,7 +46,8 @@
   const hosts = new Map<string, Map<string, Start>>();
 
   function readCurrent(hostId: string): ReadonlyMap<string, Start> {
-    const starts = hosts.get(hostId) ?? new Map<string, Start>();
+    const starts = hosts.get(hostId);
+    if (!starts) return NO_STARTS;
     const oldestAt = performance.now() - MAX_ORDER_DELAY_MS;
     for (const [key, {sentAt}] of starts) {
       if (sentAt >= oldestAt && starts.size <= MAX_RUNS) break;
