--- a/review/stand_ins_2/deployment.mjs
+++ b/review/stand_ins_2/deployment.mjs
@@ -105,6 +105,9 @@
   routes,
   getWork,
   settings = {},
+  isBarred,
+  onSeen,
+  advise = async () => ({status: 429}),
   prepare = () => {},
 }) {
   if (!existsSync(join(ROOT, PROGRAM))) throw new Error(`no ${PROGRAM}`);
@@ -115,17 +118,25 @@
   const store = createStore();
   const storeAddress = `${net1}.1:${await getFreePort(`${net1}.1`)}`;
   const stopMs = Number(settings['bounds.stopMs'] ?? 400);
-  const workers = createWorkers({store, record, getWork, stopMs});
+  const workers = createWorkers({
+    store,
+    record,
+    getWork,
+    stopMs,
+    isBarred,
+    onSeen,
+  });
   onEnd(() => workers.dispose());
   const addresses = new Map();
   let next = 0;
-  for (const {name, count, cpu = 16_000} of services) {
+  for (const {name, count, cpu = 16_000, kinds = ['standard']} of services) {
     for (let i = 0; i < count; i += 1) {
       const worker = workers.createWorker({
         service: name,
         zone: 'zone-a',
         machine: `m${next + 1}`,
         rack: `r1-${1 + (i % 2)}`,
+        kind: kinds[i % kinds.length],
         capacity: {cpu, memMb: 32_768, gpu: 0},
       });
       const ip = `${net1}.${20 + next}`;
@@ -133,9 +144,13 @@
       next += 1;
     }
   }
+  const spares = new Set(
+    services.filter(({spare}) => spare).map(({name}) => name),
+  );
   const machines = createMachines({
     workers,
     record,
+    spares,
     moveMs: 1_500,
     upkeepMs: 2_000,
   });
@@ -147,7 +162,7 @@
   await store.listen(...at(storeAddress));
   await machines.listen(...at(cloudAddress), each => addresses.get(each));
   const adviceAddress = `${net1}.3:${await getFreePort(`${net1}.3`)}`;
-  await serve(...at(adviceAddress), async () => ({status: 429}));
+  await serve(...at(adviceAddress), advise);
   const config = {
     version: 3,
     routes: routes.map(route => ({
@@ -165,7 +180,9 @@
     limits: {},
   };
   store.put('op/config', config);
-  for (const [worker, {ip, port}] of addresses) await worker.start(ip, port);
+  for (const [worker, {ip, port}] of addresses) {
+    if (!spares.has(worker.service)) await worker.start(ip, port);
+  }
   const hosts = [];
   const deployment = {
     store,
--- a/review/stand_ins_2/machines.mjs
+++ b/review/stand_ins_2/machines.mjs
@@ -3,21 +3,30 @@
 import {serve} from './http.mjs';
 
 /** Creates the machines of the workers; each worker is a life of one. */
-export function createMachines({workers, record, moveMs, upkeepMs}) {
+export function createMachines({workers, record, spares, moveMs, upkeepMs}) {
   const states = new Map();
-  const pools = new Map();
   const waves = new Map();
+  const isOff = ({service}) => spares.has(service);
+  const api = {
+    /** Called with each order before it is handled. */
+    onOrder: () => {},
+    listen,
+  };
 
   function list() {
-    return workers.all.map(({machine, service, zone, up, id}) => ({
-      machine,
-      pool: pools.get(machine) ?? service,
-      state: states.get(machine) ?? (up ? 'up' : 'down'),
-      zone,
-      labels: [],
-      capacity: {},
-      ...(up && !states.has(machine) ? {id} : {}),
-    }));
+    return workers.all.map(worker => {
+      const {machine, service, zone, up, id} = worker;
+      const isReady = up || isOff(worker);
+      return {
+        machine,
+        pool: service,
+        state: states.get(machine) ?? (isReady ? 'up' : 'down'),
+        zone,
+        labels: [],
+        capacity: {},
+        ...(up ? {id} : {}),
+      };
+    });
   }
 
   function begin(worker, state, ms, address) {
@@ -26,37 +35,46 @@
     worker.leave();
     setTimeout(async () => {
       states.delete(machine);
-      worker.service = pools.get(machine) ?? worker.service;
-      await worker.start(address.ip, address.port);
+      if (!isOff(worker)) await worker.start(address.ip, address.port);
     }, ms).unref();
   }
 
-  return {
-    states,
-    listen: (ip, port, getAddress) =>
-      serve(ip, port, async ({method, path, headers, body}) => {
-        if (method === 'GET') {
-          return {status: 200, body: {machines: list(), nextToken: ''}};
-        }
-        const holder = headers['x-lease-holder'];
-        const fence = Number(headers['x-fencing-token']);
-        record('machine order', {path, ...body, holder, fence});
-        const worker = workers.all.find(each => each.machine === body.machine);
-        if (!worker) return {status: 400};
-        const isMove = path === '/-/machine-move';
-        const key = `${body.machine} ${body.wave}`;
-        if (!isMove && waves.has(key)) return {status: 200, body: {}};
-        if (isMove && worker.service === body.pool) {
-          return {status: 200, body: {}};
-        }
-        if (!worker.up || states.has(body.machine)) {
-          return {status: 409, body: {reason: 'busy'}};
-        }
-        if (isMove) pools.set(body.machine, body.pool);
-        else waves.set(key, true);
-        const ms = isMove ? moveMs : upkeepMs;
-        begin(worker, isMove ? 'moving' : 'upkeep', ms, getAddress(worker));
-        return {status: 200, body: {}};
-      }),
-  };
+  function order(path, {machine, pool, wave}, getAddress) {
+    const worker = workers.all.find(each => each.machine === machine);
+    if (!worker) return {status: 400};
+    const isMove = path === '/-/machine-move';
+    const key = `${machine} ${wave}`;
+    const isDone = isMove ? worker.service === pool : waves.has(key);
+    if (isDone) return {status: 200, body: {}};
+    if (states.has(machine) || !(worker.up || isOff(worker))) {
+      return {status: 409, body: {reason: 'busy'}};
+    }
+    const address = getAddress(worker);
+    begin(
+      worker,
+      isMove ? 'moving' : 'upkeep',
+      isMove ? moveMs : upkeepMs,
+      address,
+    );
+    if (isMove) worker.service = pool;
+    else waves.set(key, true);
+    return {status: 200, body: {}};
+  }
+
+  function listen(ip, port, getAddress) {
+    return serve(ip, port, async ({method, path, headers, body}) => {
+      if (method === 'GET') {
+        return {status: 200, body: {machines: list(), nextToken: ''}};
+      }
+      const holder = headers['x-lease-holder'];
+      const fence = Number(headers['x-fencing-token']);
+      const given = {path, ...body, holder, fence};
+      api.onOrder(given);
+      const answer = order(path, body, getAddress);
+      record('machine order', {...given, status: answer.status});
+      return answer;
+    });
+  }
+
+  return api;
 }
--- a/review/stand_ins_2/store.mjs
+++ b/review/stand_ins_2/store.mjs
@@ -7,6 +7,8 @@
 
 const MAX_ENTRIES = 32;
 const MAX_ITEMS = 500;
+const MAX_PAGE_LENGTH = 1_000_000;
+const MAX_VALUE_BYTES = 1_048_576;
 const LEASE_CHECK_MS = 20;
 
 /** Creates an empty store; `onCall` may return what goes wrong with a call. */
@@ -81,6 +83,9 @@
     if (ifRevision.length + puts.length + keys.length > MAX_ENTRIES) {
       return {status: 400};
     }
+    const isTooLong = ({value = ''}) =>
+      Buffer.byteLength(value, 'base64') > MAX_VALUE_BYTES;
+    if (puts.some(isTooLong)) return {status: 400};
     const written = [...puts.map(each => each.key), ...keys];
     if (written.some(key => /^(op|servers)\//.test(key))) return {status: 403};
     if (puts.some(({lease}) => lease && !leases.has(lease))) {
@@ -109,8 +114,14 @@
     const found = [...items.values()]
       .filter(({key}) => key.startsWith(prefix) && key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    const hasMore = found.length > MAX_ITEMS;
-    const page = found.slice(0, MAX_ITEMS);
+    let length = 0;
+    const page = [];
+    for (const item of found.slice(0, MAX_ITEMS)) {
+      length += item.value.length;
+      if (page.length > 0 && length > MAX_PAGE_LENGTH) break;
+      page.push(item);
+    }
+    const hasMore = page.length < found.length;
     return {status: 200, body: {items: page, hasMore, storeRevision: revision}};
   }
 
--- a/review/stand_ins_2/workers.mjs
+++ b/review/stand_ins_2/workers.mjs
@@ -24,19 +24,65 @@
   holdMaxMs = 10_000,
   stopMs = 400,
   restoreMs = 250,
+  gangTimeoutMs = 3_000,
+  isBarred = () => false,
+  onSeen = () => {},
   checkpointMs = 2_000,
 }) {
   const all = [];
+  /** Members of each run of a gang, by its name. */
+  const gangs = new Map();
   /** Number of ends by how. */
   const ends = {};
   let nextId = 1;
 
+  /** Returns the run of a gang to which a member belongs, if it is one. */
+  function findGang(task, {run, work}) {
+    if (!work.gang) return undefined;
+    const name = `${task.slice(0, task.lastIndexOf('.'))}/${run}`;
+    const gang = gangs.get(name) ?? {name, members: new Map()};
+    gangs.set(name, gang);
+    return gang;
+  }
+
+  /** Members work together once all are there and carry the same value. */
+  function joinGang(task, member, endWith) {
+    const gang = findGang(task, member);
+    if (!gang) return;
+    gang.members.set(task, {member, endWith});
+    member.from = Infinity;
+    member.waitsUntil = performance.now() + gangTimeoutMs;
+    const {members} = gang;
+    if (members.size < member.work.gang) return;
+    const values = new Set(
+      [...members.values()].map(each => each.member.saved),
+    );
+    record('gang present', {gang: gang.name, values: [...values]});
+    if (values.size > 1) return;
+    const from = performance.now() + (member.worked > 0 ? restoreMs : 0);
+    for (const each of members.values()) {
+      each.member.from = from;
+      each.member.waitsUntil = Infinity;
+    }
+  }
+
+  /** Ends the other members; the same end if they are done. */
+  function leaveGang(task, member, how) {
+    const gang = member.work.gang ? findGang(task, member) : undefined;
+    if (!gang?.members.delete(task)) return;
+    const others = [...gang.members.values()];
+    gangs.delete(gang.name);
+    if (how === 'alone') return others.forEach(each => each.endWith('alone'));
+    for (const each of others) each.endWith(how === 'done' ? how : 'broken');
+  }
+
   function createWorker({service, zone, machine, rack, kind, capacity}) {
     const worker = {
       id: '',
       service,
       zone,
       machine,
+      kind: kind ?? 'standard',
       up: false,
       state: 'ready',
       runs: new Map(),
@@ -73,27 +119,37 @@
 
     function listEnd(task, run, how, saved) {
       lastEnd += 1;
+      const member = worker.runs.get(task);
       ended.push([lastEnd, task, run, how, saved]);
       over.set(task, Math.max(over.get(task) ?? 0, run));
       worker.runs.delete(task);
       ends[how] = (ends[how] ?? 0) + 1;
-      record('run ended', {worker: worker.id, task, run, how});
+      record('run ended', {worker: worker.id, task, run, how, saved});
+      leaveGang(task, member, how);
       wake();
     }
 
     function tick() {
       const now = performance.now();
-      for (const [task, each] of worker.runs) {
+      for (const [task, each] of [...worker.runs]) {
+        if (worker.runs.get(task) !== each) continue;
+        if (now > each.waitsUntil) {
+          listEnd(task, each.run, 'alone', each.saved);
+          continue;
+        }
         if (each.stopAt !== undefined) {
           if (now >= each.stopAt) {
-            listEnd(task, each.run, 'stopped', each.saved);
+            const worked = each.worked + Math.max(0, now - each.from);
+            // A stop produces a new value.
+            const saved = each.saves ? String(Math.floor(worked)) : each.saved;
+            listEnd(task, each.run, 'stopped', saved);
           }
           continue;
         }
         const worked = each.worked + Math.max(0, now - each.from);
-        if (each.saves) {
-          const steps = Math.floor(worked / checkpointMs);
-          if (steps > 0) each.saved = String(steps * checkpointMs);
+        if (each.saves && worked >= each.savedAt + checkpointMs) {
+          each.savedAt = Math.floor(worked / checkpointMs) * checkpointMs;
+          each.saved = String(each.savedAt);
         }
         if (each.work.fails && worked >= each.work.ms) {
           listEnd(task, each.run, 'failed', each.saved);
@@ -124,9 +180,10 @@
       return {status: 409, body: {clockMs: getClock(), reason}};
     }
 
-    function startRun({task, run, spec, untilMs, checkpointData = ''}) {
-      const work = getWork(task, spec);
+    function startRun({task, run, spec, untilMs, checkpointData = '', ticket}) {
+      const work = getWork(task, spec, worker);
       if (untilMs <= getClock()) return refuse('late');
+      if (isBarred(worker, task, ticket)) return refuse('ticket');
       const current = worker.runs.get(task);
       if (current?.run === run) {
         takeLease(untilMs);
@@ -143,13 +200,21 @@
       takeLease(untilMs);
       const worked = Number(checkpointData || 0);
       const from = performance.now() + (worked > 0 ? restoreMs : 0);
-      worker.runs.set(task, {
+      const member = {
         run,
         work,
         worked,
         from,
+        waitsUntil: Infinity,
         saves: work.saves === true,
         saved: checkpointData,
+        savedAt: worked,
+      };
+      worker.runs.set(task, member);
+      joinGang(task, member, how => {
+        if (worker.runs.get(task) === member) {
+          listEnd(task, run, how, how === 'done' ? '' : member.saved);
+        }
       });
       record('run begun', {worker: worker.id, task, run, spec});
       worker.onBegun(task, run);
@@ -188,6 +253,9 @@
 
     async function hold({lastSeen = 0, untilMs, waitMs = 0}) {
       takeLease(untilMs);
+      for (const [number, task, run, how] of ended) {
+        if (number <= lastSeen) onSeen({worker: worker.id, task, run, how});
+      }
       ended = ended.filter(([number]) => number > lastSeen);
       const life = bornAt;
       if (ended.length === 0 && waitMs > 0) {
@@ -279,14 +347,21 @@
       clearInterval(ticker);
     }
 
+    function endAll() {
+      const runs = [...worker.runs];
+      worker.runs = new Map();
+      for (const [task, member] of runs) leaveGang(task, member, 'gone');
+    }
+
     /** Ends at once and says nothing; its runs are gone. */
     function crash() {
       if (!worker.up) return;
       worker.up = false;
       stopTimers();
-      const tasks = [...worker.runs].map(([task, {run}]) => `${task} ${run}`);
+      const runs = [...worker.runs];
+      const tasks = runs.map(([task, {run}]) => `${task} ${run}`);
       record('worker crashed', {worker: worker.id, tasks});
-      worker.runs = new Map();
+      endAll();
       wake();
       end(server);
       const {id} = worker;
@@ -302,7 +377,7 @@
       worker.up = false;
       stopTimers();
       record('worker left', {worker: worker.id});
-      worker.runs = new Map();
+      endAll();
       wake();
       end(server);
       store.drop(`servers/${worker.id}`);
