--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,5 +1,5 @@
-// One worker goes down and up by turns; a submission of tasks that last comes
-// meanwhile, with one task for each worker.
+// Machines are added one after the other, and for each a wave is declared a
+// moment later.
 import {dirname} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -9,20 +9,19 @@
   HELD,
   NOT_RUN,
   TROUBLE,
-  createId,
   runCase,
   startDeployment,
 } from '../stand_ins_2/deployment.mjs';
 
-/** One worker of fourteen is a share of 0.071. */
-const WORKERS = 14;
-/** The worker is down for this time, then up for it, and so on. */
-const GAP_MS = 926;
-const FLAP_FOR_MS = 7_490;
-/** When the submission comes, after the first crash. */
-const SUBMIT_AFTER_MS = 1_500;
-/** Time after the worker is back for good; above `contactMs`. */
-const AFTER_MS = 8_000;
+/** Workers at first; one more is a share of 0.2. */
+const WORKERS = 5;
+const MACHINES = 3;
+/** Time from a machine's worker being up to its wave. */
+const WAVE_AFTER_MS = TROUBLE ? 500 : 5_000;
+const DURATION_S = 20;
+/** Time after the end of a wave for which its machine is watched. */
+const AFTER_MS = 5_000;
+const POLL_MS = 50;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -39,49 +38,46 @@
           service: 'desk',
         },
       ],
-      getWork: () => ({ms: 0, cpu: 1_000, lasts: true}),
+      getWork: () => ({ms: 500, cpu: 1_000}),
     });
-    const {hosts, workers, addresses} = deployment;
-    const [worker] = workers.all;
-    const {ip, port} = addresses.get(worker);
-
-    async function flap() {
-      const until = performance.now() + FLAP_FOR_MS;
-      while (performance.now() < until) {
-        worker.crash();
-        await delay(GAP_MS);
-        await worker.start(ip, port);
-        await delay(GAP_MS);
-      }
-    }
-
-    const flapping = TROUBLE ? flap() : delay(FLAP_FOR_MS);
-    await delay(SUBMIT_AFTER_MS);
-    const path = `/desk/${createId()}`;
-    const step = {
-      count: WORKERS,
-      cpu: 1_000,
-      memMb: 64,
-      estimateMs: 1_000,
-      longRunning: true,
-      maxPerServer: 1,
+    const {store, machines} = deployment;
+    /** Times of the upkeep orders, by wave. */
+    const begun = new Map();
+    machines.onOrder = ({path, wave}) => {
+      if (path === '/-/machine-upkeep') begun.set(wave, performance.now());
     };
-    const answer = await deployment.submit(hosts[0], path, {
-      spec: 'service',
-      steps: [step],
-    });
-    if (answer.status !== 200) {
-      return {result: NOT_RUN, words: 'the submission was not accepted'};
+    let early = 0;
+    let completed = 0;
+    for (let wave = 1; wave <= MACHINES; wave += 1) {
+      const {machine} = await deployment.addWorker('desk');
+      await delay(WAVE_AFTER_MS);
+      const request = {
+        wave,
+        machines: [machine],
+        durationS: DURATION_S,
+        cap: 1,
+      };
+      store.put(`op/wave/${wave}`, request);
+      record('wave declared', request);
+      const until = performance.now() + DURATION_S * 1_000;
+      let state;
+      while (state !== 'completed' && performance.now() < until) {
+        state = store.read(`status/wave/${wave}`)
+          ? JSON.parse(store.read(`status/wave/${wave}`)).state
+          : undefined;
+        await delay(POLL_MS);
+      }
+      const isBegun = begun.has(wave);
+      record('wave', {wave, machine, state, upkeepHasBegun: isBegun});
+      if (state === 'completed') completed += 1;
+      if (state === 'completed' && !isBegun) early += 1;
+      await delay(AFTER_MS);
+      record('later', {wave, machine, upkeepHasBegun: begun.has(wave)});
     }
-    await flapping;
-    await delay(AFTER_MS);
-    const {body, status} = await deployment.read(hosts[0], path);
-    const state = body?.state ?? status;
-    const running = workers.all.reduce((sum, {runs}) => sum + runs.size, 0);
-    const words = `the submission is shown as ${state}, ${running} of ${WORKERS} tasks run; ends: ${JSON.stringify(workers.ends)}`;
-    if (!TROUBLE && state !== 'running') {
+    const words = `${completed} of ${MACHINES} waves said to be completed, ${early} of them before their machine has begun its upkeep; ${begun.size} upkeeps begun in all`;
+    if (!TROUBLE && completed < MACHINES) {
       return {result: NOT_RUN, words: `without trouble: ${words}`};
     }
-    return {result: state === 'failed' ? BROKEN : HELD, words};
+    return {result: early > 0 ? BROKEN : HELD, words};
   },
 );
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A worker goes down and up by turns while tasks that last are handed in.
+# A machine is added, and a wave for it is declared right after that.
 cd "$(dirname "$0")" && exec node case.mjs
