A wave isn't completed while a machine of it may only be missing from a list

Cause: a machine that the last list lacks counted as gone. The list may be older than the wave (it is read every 2 s while nothing is due), its pages may have been read before and after a change, and a row in a state that the product didn't know was dropped.

Change: `createAbsenceTracker` decides from whole lists. A machine has left if all lists requested after the wave was read, and after the last answer of a host on the machine, lack it for 3 s. A declaration that changes is read anew. The same evidence settles an order whose machine isn't listed, which marked the machine's hosts as gone; and a machine that was serviced and isn't listed counts as down for its wave, so that a new leader keeps the limit. Rows in an unknown state are machines that stay. Waves begin as early as before: only their completion waits, and only for machines that lists lack. The line `wave`, `completed` tells how many machines were serviced, which count as gone and the age of the list.

--- a/features/platform/service_answers.feature
+++ b/features/platform/service_answers.feature
@@ -98,6 +98,12 @@
       | 200    |
       | 410    |
 
+  # Guards against a machine that counts as gone because its state is new.
+  Scenario: A machine in a state that is not known is still listed
+    Given a service that answers 200 with {"machines":[{"machine":"m1","state":"repair"},{"machine":"m2","state":"up"}]}
+    When a client calls "machines"
+    Then the answer lists 2 machines
+
   # Guards against calls that last for ever.
   Scenario: Interim answers do not extend a call
     Given a service that answers with interim answers only
--- a/features/platform/service_answers.steps.ts
+++ b/features/platform/service_answers.steps.ts
@@ -157,6 +157,11 @@
   answer = await Promise.race([callService(call), limit]);
 });
 
+Then('the answer lists {int} machines', (count: number) => {
+  assert.ok(answer.isOk && Array.isArray(answer.value));
+  assert.equal(answer.value.length, count);
+});
+
 When(
   'a client for at most {int} addresses calls {int} hosts, one after the other',
   async (limit: number, count: number) => {
--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -67,3 +67,74 @@
     Then all are "completed" within 10 s
     And no start order was sent to an ended host incarnation
     And the run history has no violations
+
+  # Guards against a wave that is reported as completed because the last machine
+  # list is older than one of its machines.
+  @promise-budget
+  Scenario Outline: A machine added <ms> ms before its wave has its upkeep before the wave is completed, with lists <age> ms old
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    And machine lists are <age> ms old when they arrive
+    When 12 s pass
+    And a machine is added
+    And <ms> ms pass
+    And a wave over that machine is declared with a duration of 20 s
+    Then the wave is completed within 20 s
+    And that machine had its upkeep before the wave was completed
+
+    Examples:
+      | ms   | age  |
+      | 0    | 1    |
+      | 500  | 1    |
+      | 500  | 1500 |
+      | 1900 | 1    |
+
+  # Guards against a wave that is reported as completed because a list, whose
+  # pages were read before and after a change, has left out one of its machines.
+  @promise-budget
+  Scenario: A machine that lists leave out for a while has its upkeep before its wave is completed
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    When a machine is added
+    And 12 s pass
+    And machine lists leave out that machine
+    And 3 s pass
+    And a wave over that machine is declared with a duration of 20 s
+    And 2 s pass
+    And machine lists leave out no machine
+    Then the wave is completed within 18 s
+    And that machine had its upkeep before the wave was completed
+
+  # Guards against a new leader that completes a wave by a list from before it
+  # knew the wave.
+  @promise-budget @failure-crash
+  Scenario: A machine that is added as the leader is killed has its upkeep before its wave is completed
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    When 12 s pass
+    And the leader is killed
+    And a machine is added
+    And a wave over that machine is declared with a duration of 20 s
+    Then the wave is completed within 20 s
+    And that machine had its upkeep before the wave was completed
+
+  # Guards against a new leader that exceeds the limit of a wave because a list
+  # leaves out a machine that is down for it.
+  @promise-budget @failure-crash
+  Scenario: A new leader counts a machine that is down for its wave although lists leave it out
+    Given 3 entry hosts, 6 hosts for workflows and 1 spare machines
+    When 12 s pass
+    And a wave over all machines is declared with a duration of 60 s and at most 1 machines down
+    And the first upkeep has begun and machine lists leave out its machine
+    And the leader is killed
+    And 4 s pass
+    And machine lists leave out no machine
+    Then the wave is completed within 56 s
+    And at most 1 machines were down for the wave at any time
+
+  @promise-budget
+  Scenario: A wave is completed without a machine that has left
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    When a machine is added
+    And 12 s pass
+    And that machine is removed
+    And a wave over that machine is declared with a duration of 20 s
+    Then the wave is completed within 8 s
+    And the run history has no violations
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {FleetEvent, FleetEventKind} from '../../src/stand_ins/fleet';
 import {MachineState, TaskEndKind} from '../../src/types/workflow';
 import {advance, advanceUntil} from '../support/paused_clock';
@@ -8,6 +8,53 @@
 
 let drainingHost = '';
 let lastingId = '';
+let addedMachine = '';
+
+Given('machine lists are {int} ms old when they arrive', (ageMs: number) => {
+  getWorld().fleet.faults.listAgeMs = ageMs;
+});
+
+When('a machine is added', () => {
+  addedMachine = getWorld().fleet.addMachine(POOL);
+});
+
+When('that machine is removed', () => {
+  getWorld().fleet.removeMachine(addedMachine);
+});
+
+When('machine lists leave out that machine', () => {
+  getWorld().fleet.faults.unlisted.add(addedMachine);
+});
+
+When(
+  'the first upkeep has begun and machine lists leave out its machine',
+  async () => {
+    await advanceUntil(() => listUpkeeps().length > 0, 10_000);
+    const [{task}] = listUpkeeps();
+    getWorld().fleet.faults.unlisted.add(task.split(' ')[1]);
+  },
+);
+
+When('machine lists leave out no machine', () => {
+  getWorld().fleet.faults.unlisted.clear();
+});
+
+When(
+  'a wave over that machine is declared with a duration of {int} s',
+  (seconds: number) => {
+    getWorld().declareWave({
+      number: 1,
+      machines: [addedMachine],
+      durationMs: seconds * 1_000,
+      limit: 1,
+    });
+  },
+);
+
+Then('that machine had its upkeep before the wave was completed', () => {
+  const upkeep = `${MachineState.Maintenance} ${addedMachine}`;
+  assert.ok(listUpkeeps().some(({task}) => task === upkeep));
+});
 
 When(
   'a workflow of {int} lasting tasks is submitted, at most {int} tasks per host',
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -10,7 +10,7 @@
   MachineOrderHolder,
   Machines,
 } from '../../ports/hosts';
-import {Mirror, delay, startStopwatch} from '../../state';
+import {Mirror, createAbsenceTracker, delay, startStopwatch} from '../../state';
 import {Log} from '../../telemetry';
 import {
   FleetConfiguration,
@@ -113,6 +113,11 @@
 const FORCED_STOP_DELAY_MS = 2_500;
 /** Maximum delay in ms until a completed order shows in the machine list. */
 const MAX_LIST_DELAY_MS = 1_000;
+/**
+ * Time in ms for which machine lists must lack a machine before it counts as
+ * gone; several lists, and longer than a change takes to show in them.
+ */
+const GONE_CONFIRMATION_MS = 3_000;
 /**
  * Margin in ms added to the gap after an earlier holder's orders, for calls
  * still in transit.
@@ -176,8 +181,9 @@
   );
   /** Orders decided in a review, sent once they are recorded in the store. */
   let queuedOrders: QueuedOrder[] = [];
+  const absences = createAbsenceTracker(GONE_CONFIRMATION_MS);
   let list: readonly Machine[] = [];
-  let listedAt = 0;
+  let listRequestedAt = 0;
   let listing = false;
 
   async function run(): Promise<void> {
@@ -196,7 +202,7 @@
   }
 
   function refreshList(): void {
-    const ageMs = performance.now() - listedAt;
+    const ageMs = performance.now() - listRequestedAt;
     const busy = orders.size > 0 || waveRecords.hasOpen();
     if (
       listing ||
@@ -208,9 +214,12 @@
     errors.run('machine list', async () => {
       const answer = await port.list();
       listing = false;
-      listedAt = now;
+      listRequestedAt = now;
       if (answer.isErr) return;
       list = answer.value;
+      const ids = list.map(({id}) => id);
+      // An empty list says nothing about single machines.
+      if (ids.length > 0) absences.record(ids, now);
       views.setList(list);
       settleOrders(now);
     });
@@ -218,7 +227,7 @@
 
   /**
    * Removes completed orders: those whose expected duration has passed and
-   * whose machine is up again, no longer listed or overdue in the list.
+   * whose machine is up again, has left or is overdue in the list.
    */
   function settleOrders(at: number): void {
     const listed = new Map(list.map(machine => [machine.id, machine]));
@@ -228,7 +237,12 @@
       if (!order.answered || at < order.at + durationMs) continue;
       const machine = listed.get(id);
       const isOverdue = at > order.at + durationMs + MAX_LIST_DELAY_MS;
-      if (machine && machine.state !== MachineState.Up && !isOverdue) continue;
+      const {state = MachineState.Unknown} = machine ?? {};
+      const isSettled =
+        state === MachineState.Unknown
+          ? !machine && hasLeft(id, order.at)
+          : state === MachineState.Up || isOverdue;
+      if (!isSettled) continue;
       orders.delete(id);
       markHostsGone(order, machine?.hostId ?? '');
     }
@@ -245,6 +259,17 @@
     }
   }
 
+  /**
+   * Returns whether a machine has left the fleet: neither machine lists nor its
+   * hosts have shown it for long enough.
+   *
+   * @param since monotonic time in ms from which it is looked for
+   */
+  function hasLeft(machine: string, since: number): boolean {
+    if (!absences.hasLeft(machine, since)) return false;
+    return absences.hasLeft(machine, views.getLastAnswerAt(machine));
+  }
+
   function isOrdered(machine: string): boolean {
     return orders.has(machine) || !orderLog.mayOrder(machine);
   }
@@ -309,13 +334,22 @@
     reserved: Set<string>,
   ): void {
     const isDown = (id: string) => orders.get(id)?.wave === wave.number;
+    const progress = waveRecords.view(
+      wave,
+      snapshot.machines,
+      isDown,
+      (id, since) => !orders.has(id) && hasLeft(id, since),
+    );
     const plan = planWave(
-      waveRecords.view(wave, snapshot.machines, isDown),
+      progress,
       snapshot.machines,
       pool => getUtilization(pool, snapshot),
       times.upkeepMs,
     );
-    if (plan.complete) errors.run('wave', () => waveRecords.complete(wave));
+    if (plan.complete) {
+      const listAgeMs = performance.now() - absences.getLastBeganAt();
+      errors.run('wave', () => waveRecords.complete(progress, listAgeMs));
+    }
     for (const id of plan.cordon) {
       reserved.add(id);
       drain(id);
--- a/src/actors/workflows/machine_views.ts
+++ b/src/actors/workflows/machine_views.ts
@@ -39,6 +39,11 @@
    * listed one, as the list may be older than a session.
    */
   listTasks(machine: string): readonly TaskRecord[];
+  /**
+   * Returns the monotonic time in ms of the last answer of a host on a machine;
+   * -Infinity if none has reported.
+   */
+  getLastAnswerAt(machine: string): number;
   /** Resets the idle time of a machine after an order for it. */
   restartIdleTime(machine: string): void;
 }
@@ -202,6 +207,12 @@
     },
     listSessions,
     listTasks: machine => flattenTasks(listSessions(machine)),
+    getLastAnswerAt: machine =>
+      Math.max(
+        ...listSessions(machine)
+          .filter(({reportedAt}) => reportedAt > 0)
+          .map(({answeredAt}) => answeredAt),
+      ),
     restartIdleTime: machine => void idleSince.delete(machine),
   };
 }
--- a/src/actors/workflows/wave_records.ts
+++ b/src/actors/workflows/wave_records.ts
@@ -25,14 +25,32 @@
     wave: MaintenanceWave,
     machines: ReadonlyMap<string, MachineView>,
     isOrdered: (machine: string) => boolean,
+    hasLeft: MachineDeparture,
   ): WaveView;
   /** Records that a machine's upkeep has begun or is impossible. */
   recordServiced(wave: MaintenanceWave, machine: string): Promise<void>;
   /**
-   * Reports a wave as complete: all of its machines that still exist have begun
-   * their upkeep.
+   * Reports a wave as complete: all of its machines that have not left have
+   * begun their upkeep.
+   *
+   * @param progress the view that shows it
+   * @param listAgeMs time in ms since the last machine list was requested
    */
-  complete(wave: MaintenanceWave): Promise<void>;
+  complete(progress: WaveView, listAgeMs: number): Promise<void>;
+}
+
+/**
+ * Returns whether a machine has left the fleet.
+ *
+ * @param since monotonic time in ms from which it is looked for
+ */
+export type MachineDeparture = (machine: string, since: number) => boolean;
+
+/** The declaration of a wave in the store. */
+interface Declaration {
+  readonly version: number;
+  /** Monotonic time in ms at which this term first read it. */
+  readonly readAt: number;
 }
 
 /** Stored progress of a wave. */
@@ -68,6 +86,8 @@
   /** Monotonic times in ms by which waves must be complete. */
   const endsAt = new Map<number, number>();
   const reported = new Set<number>();
+  /** Declarations of waves as they were last read, by wave. */
+  const declarations = new Map<number, Declaration>();
 
   function listWaves(): readonly MaintenanceWave[] {
     return [...waves.entries.get().values()].map(({value}) => value);
@@ -84,6 +104,19 @@
     }
   }
 
+  /**
+   * Notes when each declaration was first read: its machines may be newer than
+   * any machine list from before. One that has changed is not complete.
+   */
+  function readDeclarations(): void {
+    for (const {value, version} of waves.entries.get().values()) {
+      const {number} = value;
+      if (declarations.get(number)?.version === version) continue;
+      declarations.set(number, {version, readAt: performance.now()});
+      reported.delete(number);
+    }
+  }
+
   async function write(number: number): Promise<void> {
     const record: StoredWave = {
       startedAt: startTimes.get(number) ?? unixNow(),
@@ -106,6 +139,7 @@
 
   return {
     async load() {
+      readDeclarations();
       for (const wave of listWaves()) {
         const {number} = wave;
         if (serviced.has(number)) continue;
@@ -135,28 +169,42 @@
         ({number}) => serviced.has(number) && !reported.has(number),
       ),
     hasOpen: () => listWaves().some(({number}) => !reported.has(number)),
-    view(wave, machines, isOrdered) {
+    view(wave, machines, isOrdered, hasLeft) {
       const {number} = wave;
+      const done = serviced.get(number) ?? new Set();
+      const since = declarations.get(number)?.readAt ?? performance.now();
+      const gone = new Set(
+        wave.machines.filter(id => !machines.has(id) && hasLeft(id, since)),
+      );
+      // A list may leave out a machine that is down for its upkeep.
+      const isDown = (id: string) =>
+        isOrdered(id) ||
+        (machines.has(id)
+          ? machines.get(id)?.state === MachineState.Maintenance
+          : done.has(id) && !gone.has(id));
       return {
         number,
         machines: wave.machines,
         limit: wave.limit,
         remainingMs: (endsAt.get(number) ?? 0) - performance.now(),
-        serviced: serviced.get(number) ?? new Set(),
-        down: wave.machines.filter(
-          id =>
-            isOrdered(id) ||
-            machines.get(id)?.state === MachineState.Maintenance,
-        ).length,
+        serviced: done,
+        gone,
+        down: wave.machines.filter(isDown).length,
       };
     },
     async recordServiced({number}, machine) {
       serviced.get(number)?.add(machine);
       await write(number);
     },
-    async complete({number}) {
+    async complete({number, serviced, gone}, listAgeMs) {
       reported.add(number);
-      log.info('wave', {wave: number, decision: 'completed'});
+      log.info('wave', {
+        wave: number,
+        decision: 'completed',
+        serviced: serviced.size,
+        gone: [...gone].filter(id => !serviced.has(id)).join(' '),
+        listAgeMs: Math.round(listAgeMs),
+      });
       if (!(await report(number, true))) reported.delete(number);
     },
   };
--- a/src/decisions/workflows/plan_wave.ts
+++ b/src/decisions/workflows/plan_wave.ts
@@ -11,6 +11,8 @@
   readonly remainingMs: number;
   /** Ids of machines whose maintenance has started or finished. */
   readonly serviced: ReadonlySet<string>;
+  /** Ids of machines that have left the fleet. */
+  readonly gone: ReadonlySet<string>;
   /** Number of machines that are or may be down for it. */
   readonly down: number;
 }
@@ -21,7 +23,7 @@
   readonly service: readonly string[];
   /** Ids of machines to cordon until their tasks have ended. */
   readonly cordon: readonly string[];
-  /** Whether maintenance has started on every machine that is still present. */
+  /** Whether maintenance has started on every machine that has not left. */
   readonly complete: boolean;
 }
 
@@ -58,11 +60,11 @@
   getUtilization: (pool: string) => number,
   upkeepMs: number,
 ): WavePlan {
-  const left = wave.machines.filter(id => !wave.serviced.has(id));
+  const left = wave.machines.filter(
+    id => !wave.serviced.has(id) && !wave.gone.has(id),
+  );
+  if (left.length === 0) return {service: [], cordon: [], complete: true};
   const present = left.flatMap(id => machines.get(id) ?? []);
-  if (present.length === 0) {
-    return {service: [], cordon: [], complete: machines.size > 0};
-  }
   const candidates = present
     .filter(({state, ordered}) => state === MachineState.Up && !ordered)
     .map(machine => ({machine, rank: rankMachine(machine, getUtilization)}))
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -38,6 +38,10 @@
   ordersOutliveHosts: boolean;
   /** Whether another host answers at the earlier address of one that has moved. */
   reusesAddresses: boolean;
+  /** Age in ms of a machine list when it arrives. */
+  listAgeMs: number;
+  /** Ids of machines that stay but are left out of machine lists. */
+  readonly unlisted: Set<string>;
 }
 
 /** Stand-in hosts and machines in memory, without any transport. */
@@ -55,6 +59,8 @@
    * off and has no host.
    */
   addMachine(pool: string, off?: boolean, labels?: readonly string[]): string;
+  /** Removes a machine, with the host that runs on it, for good. */
+  removeMachine(machine: string): void;
   /**
    * Makes the host of a machine announce in the registry that it is draining.
    */
@@ -166,6 +172,8 @@
     delayedOrders: {share: 0, afterMs: 0},
     ordersOutliveHosts: false,
     reusesAddresses: false,
+    listAgeMs: CALL_LATENCY_MS,
+    unlisted: new Set(),
   };
   let hostCount = 0;
   let startsOnEndedHosts = 0;
@@ -339,6 +347,10 @@
       else boot(id);
       return id;
     },
+    removeMachine(machine) {
+      endHost(machine);
+      machines.delete(machine);
+    },
     announceDraining(machine) {
       const model = hosts.get(machines.get(machine)?.hostId ?? '');
       if (!model) return;
@@ -401,10 +413,13 @@
     }),
     createMachines: isPartitioned => ({
       async list() {
-        await delay(CALL_LATENCY_MS);
+        const listed = [...machines.values()].filter(
+          ({id}) => !faults.unlisted.has(id),
+        );
+        await delay(faults.listAgeMs);
         return isPartitioned()
           ? Result.err(MachineOrderFailure.Refused)
-          : Result.ok([...machines.values()]);
+          : Result.ok(listed);
       },
       move: (machine, pool, holder) =>
         orderMachine(
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -2,6 +2,7 @@
  * Observable values, local copies of the store's content, confirmed writes and
  * timing helpers.
  */
+export * from './absence_tracker';
 export * from './backoff';
 export * from './rate_limiter';
 export * from './change_log';
--- a/src/types/workflow/machine.ts
+++ b/src/types/workflow/machine.ts
@@ -5,6 +5,8 @@
   /** Under maintenance. */
   Maintenance = 'upkeep',
   Down = 'down',
+  /** A state that this version does not know; the machine exists. */
+  Unknown = 'unknown',
 }
 
 /** A machine of the fleet. */
