An upkeep that the platform denies isn't recorded as done

A wave was reported as `completed` after a 400 for one of its machines, which stayed and never had its upkeep.

Cause: `recordServiced` counted an order that is impossible like one that was carried out, for good.

Change: only an order that was carried out counts. A machine that the platform denies gets no order until a later list shows it; if it has left, the lists tell.

Evidence: the scenario "A machine whose upkeep is refused as impossible..." failed before (no upkeep, `completed`) and holds.

--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -115,6 +115,20 @@
     Then the wave is completed within 20 s
     And that machine had its upkeep before the wave was completed
 
+  # Guards against a wave that is reported as completed because an order for one
+  # of its machines was refused.
+  @promise-budget
+  Scenario: A machine whose upkeep is refused as impossible has it before its wave is completed
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    When a machine is added
+    And 12 s pass
+    And orders for that machine are answered as impossible
+    And a wave over that machine is declared with a duration of 20 s
+    And 2 s pass
+    And orders for that machine are carried out again
+    Then the wave is completed within 18 s
+    And that machine had its upkeep before the wave was completed
+
   # Guards against a new leader that exceeds the limit of a wave because a list
   # leaves out a machine that is down for it.
   @promise-budget @failure-crash
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -39,6 +39,14 @@
   getWorld().fleet.faults.unlisted.clear();
 });
 
+When('orders for that machine are answered as impossible', () => {
+  getWorld().fleet.faults.denied.add(addedMachine);
+});
+
+When('orders for that machine are carried out again', () => {
+  getWorld().fleet.faults.denied.clear();
+});
+
 When(
   'a wave over that machine is declared with a duration of {int} s',
   (seconds: number) => {
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -182,6 +182,10 @@
   /** Orders decided in a review, sent once they are recorded in the store. */
   let queuedOrders: QueuedOrder[] = [];
   const absences = createAbsenceTracker(GONE_CONFIRMATION_MS);
+  /**
+   * Monotonic times in ms at which the platform denied that a machine exists.
+   */
+  const deniedAt = new Map<string, number>();
   let list: readonly Machine[] = [];
   let listRequestedAt = 0;
   let listing = false;
@@ -271,7 +275,18 @@
   }
 
   function isOrdered(machine: string): boolean {
-    return orders.has(machine) || !orderLog.mayOrder(machine);
+    return (
+      orders.has(machine) || !orderLog.mayOrder(machine) || isDenied(machine)
+    );
+  }
+
+  /**
+   * Returns whether no list since the platform denied that a machine exists
+   * shows it.
+   */
+  function isDenied(machine: string): boolean {
+    const at = deniedAt.get(machine);
+    return at !== undefined && at >= absences.getLastBeganAt();
   }
 
   function review(): void {
@@ -392,9 +407,7 @@
     const answer = await port.service(machine, wave.number, holder);
     const failure = answer.isOk ? undefined : answer.error;
     handleOutcome(machine, 'upkeep', failure);
-    const handled =
-      failure === undefined || failure === MachineOrderFailure.Impossible;
-    if (handled) await waveRecords.recordServiced(wave, machine);
+    if (answer.isOk) await waveRecords.recordServiced(wave, machine);
   }
 
   function reviewPools(
@@ -452,6 +465,9 @@
       return;
     }
     orders.delete(machine);
+    if (failure === MachineOrderFailure.Impossible) {
+      deniedAt.set(machine, performance.now());
+    }
   }
 
   errors.run('machine review', run);
--- a/src/actors/workflows/wave_records.ts
+++ b/src/actors/workflows/wave_records.ts
@@ -27,7 +27,7 @@
     isOrdered: (machine: string) => boolean,
     hasLeft: MachineDeparture,
   ): WaveView;
-  /** Records that a machine's upkeep has begun or is impossible. */
+  /** Records that a machine's upkeep has begun. */
   recordServiced(wave: MaintenanceWave, machine: string): Promise<void>;
   /**
    * Reports a wave as complete: all of its machines that have not left have
--- a/src/stand_ins/fleet/memory_fleet.ts
+++ b/src/stand_ins/fleet/memory_fleet.ts
@@ -42,6 +42,8 @@
   listAgeMs: number;
   /** Ids of machines that stay but are left out of machine lists. */
   readonly unlisted: Set<string>;
+  /** Ids of machines whose orders are answered as if there were none. */
+  readonly denied: Set<string>;
 }
 
 /** Stand-in hosts and machines in memory, without any transport. */
@@ -174,6 +176,7 @@
     reusesAddresses: false,
     listAgeMs: CALL_LATENCY_MS,
     unlisted: new Set(),
+    denied: new Set(),
   };
   let hostCount = 0;
   let startsOnEndedHosts = 0;
@@ -307,7 +310,9 @@
     await delay(CALL_LATENCY_MS);
     if (isPartitioned()) return Result.err(MachineOrderFailure.Refused);
     const machine = machines.get(id);
-    if (!machine) return Result.err(MachineOrderFailure.Impossible);
+    if (!machine || faults.denied.has(id)) {
+      return Result.err(MachineOrderFailure.Impossible);
+    }
     if (machine.state !== MachineState.Up) {
       return Result.err(MachineOrderFailure.Busy);
     }
