A report of a wave that takes effect late doesn't replace a later one

The operator read `running` for a wave that was completed: a write without an answer may be carried out seconds later. A former leader could write its report after that of its successor.

Cause: status/wave/N was written without any condition, and waves/N with the term only.

Change: `createLeaderEntry`, taken out of the order log, replaces an entry under the conditions of the term and of the entry's own version. The status of a wave, its progress and the recorded orders use it. `platform/` only names the key and encodes the value.

Evidence: the scenario "A report that a wave is running takes effect after the wave is completed" fails without these conditions and holds with them.

--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -143,6 +143,21 @@
     Then the wave is completed within 56 s
     And at most 1 machines were down for the wave at any time
 
+  # Guards against a completed wave that the operator sees as running, because
+  # the report of its start takes effect after that of its end.
+  @promise-budget @failure-lost-answer
+  Scenario: A report that a wave is running takes effect after the wave is completed
+    Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
+    When a machine is added
+    And 12 s pass
+    And writes of the leader take effect 8000 ms late
+    And a wave over that machine is declared with a duration of 20 s
+    And 300 ms pass
+    And writes of the leader take effect at once
+    Then the wave is completed within 7 s
+    When 10 s pass
+    Then the operator last reads that the wave is completed
+
   @promise-budget
   Scenario: A wave is completed without a machine that has left
     Given 3 entry hosts, 5 hosts for workflows and 1 spare machines
--- a/features/workflows/waves.steps.ts
+++ b/features/workflows/waves.steps.ts
@@ -26,6 +26,22 @@
   getWorld().fleet.faults.unlisted.add(addedMachine);
 });
 
+When('writes of the leader take effect {int} ms late', (lateMs: number) => {
+  const faults = getWorld().getLeader()?.faults;
+  assert.ok(faults);
+  Object.assign(faults, {lateWrites: 1, lateMs});
+});
+
+When('writes of the leader take effect at once', () => {
+  const faults = getWorld().getLeader()?.faults;
+  assert.ok(faults);
+  faults.lateWrites = 0;
+});
+
+Then('the operator last reads that the wave is completed', () => {
+  assert.equal(getWorld().readWaveReports().at(-1), '1 completed');
+});
+
 When(
   'the first upkeep has begun and machine lists leave out its machine',
   async () => {
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -28,7 +28,7 @@
   createMemoryStore,
   createStoreFaults,
 } from '../../src/stand_ins/platform';
-import {delay} from '../../src/state';
+import {createMirror, delay} from '../../src/state';
 import {createLog, LogLevel} from '../../src/telemetry';
 import {
   Caller,
@@ -179,6 +179,7 @@
 export const FIRST_VERSION = 4;
 const CONFIGURATION_KEY = 'operator/configuration';
 const WAVE_PREFIX = 'operator/waves/';
+const WAVE_STATUS_PREFIX = 'operator/wave-status/';
 const HOST_CPU_MILLIS = 16_000;
 const HOST_MEMORY_MB = 32_768;
 
@@ -247,6 +248,18 @@
   const cancelledAt = new Map<string, number>();
   const queues = new Map<string, Queue>();
   const waveReports: string[] = [];
+  const waveStatus = createMirror<string>(
+    createMemoryStore(keyValue, createStoreFaults()),
+    WAVE_STATUS_PREFIX,
+  );
+  waveStatus.entries.onChange(entries => {
+    const [latest] = [...entries.values()].sort(
+      (a, b) => b.version - a.version,
+    );
+    if (!latest) return;
+    const number = latest.key.slice(WAVE_STATUS_PREFIX.length);
+    waveReports.push(`${number} ${latest.value}`);
+  });
   const pools = [
     {name: POOL, spare: false, guardsCapacity: true},
     {name: OTHER_POOL, spare: false, guardsCapacity: true},
@@ -343,10 +356,10 @@
           },
         },
         waves: {prefix: WAVE_PREFIX, read: ({value}) => JSON.parse(value)},
-        async reportWave(wave, complete) {
-          waveReports.push(`${wave} ${complete ? 'completed' : 'running'}`);
-          return true;
-        },
+        createWaveStatus: (wave, complete) => ({
+          key: `${WAVE_STATUS_PREFIX}${wave}`,
+          value: JSON.stringify(complete ? 'completed' : 'running'),
+        }),
         machineTimes: TIMES,
         processorShare: 1,
         looksAhead: true,
@@ -443,6 +456,7 @@
       }),
     ],
     dispose() {
+      waveStatus.dispose();
       for (const member of members) void member.entry.dispose();
       keyValue.dispose();
     },
--- a/src/actors/workflows/index.ts
+++ b/src/actors/workflows/index.ts
@@ -15,4 +15,5 @@
 export * from './submit_answer';
 export * from './submit_outcome';
 export * from './term_errors';
+export * from './wave_status';
 export * from './workflow_draft';
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -33,6 +33,7 @@
 import {createPoolLog} from './pool_log';
 import {TermErrors} from './term_errors';
 import {createWaveRecords} from './wave_records';
+import {WaveStatus} from './wave_status';
 
 /**
  * Carries out maintenance waves and moves machines between pools during one
@@ -65,11 +66,8 @@
   /** Returns the current Unix time in ms. */
   readonly unixNow: () => number;
   readonly times: MachineTimes;
-  /**
-   * Reports the progress of a wave to the operator; resolves to false on
-   * failure.
-   */
-  readonly reportWave: (wave: number, complete: boolean) => Promise<boolean>;
+  /** Returns the entry in which the operator reads the state of a wave. */
+  readonly createWaveStatus: WaveStatus;
   readonly log: Log;
   readonly errors: TermErrors;
 }
@@ -153,7 +151,7 @@
   getConfiguration,
   unixNow,
   times,
-  reportWave,
+  createWaveStatus,
   log,
   errors,
 }: MachineManagerOptions): MachineManager {
@@ -163,7 +161,7 @@
     store,
     holder.fence,
     waves,
-    reportWave,
+    createWaveStatus,
     unixNow,
     log,
     errors,
--- a/src/actors/workflows/order_log.ts
+++ b/src/actors/workflows/order_log.ts
@@ -1,6 +1,7 @@
 import {Store} from '../../ports';
 import {delay} from '../../state';
-import {LEADER_KEY, MACHINE_ORDERS_KEY} from './keys';
+import {MACHINE_ORDERS_KEY} from './keys';
+import {createLeaderEntry} from './leader_entry';
 import {OrderMark, createOrderMark, readOrderMarks} from './order_mark';
 import {OrderSightings} from './order_sightings';
 import {TermErrors} from './term_errors';
@@ -74,10 +75,7 @@
   let orderCount = 0;
   /** Monotonic time in ms of the last write. */
   let writtenAt = startedAt;
-  /** Version of the record; undefined after a write with an unknown outcome. */
-  let version: number | undefined;
-  /** Resolves once the last write has ended. */
-  let lastWrite: Promise<unknown> = Promise.resolve();
+  const entry = createLeaderEntry(store, fence, MACHINE_ORDERS_KEY);
 
   async function read(): Promise<void> {
     while (!abort.signal.aborted && !earlier) {
@@ -86,7 +84,7 @@
         await delay(RETRY_MS, abort.signal);
         continue;
       }
-      version = found.value?.version ?? 0;
+      entry.setVersion(found.value?.version ?? 0);
       earlier = tryReadEarlier(found.value?.value ?? '{}');
       for (const [machine, order] of earlier) recorded.set(machine, order);
     }
@@ -120,43 +118,13 @@
     return recorded.size < sizeBefore;
   }
 
-  /**
-   * Writes the record after the writes before it. Each write has the version of
-   * the record as a condition, so that one that is carried out late cannot
-   * remove an order that was recorded meanwhile.
-   */
-  function write(): Promise<boolean> {
-    const written = lastWrite.then(writeOnce);
-    lastWrite = written.catch(() => {});
-    return written;
-  }
-
-  async function writeOnce(): Promise<boolean> {
-    version ??= await readVersion();
-    if (version === undefined || abort.signal.aborted) return false;
-    writtenAt = performance.now();
-    const marks = [...recorded].map(([machine, {mark}]) => [machine, mark]);
-    const result = await store.transact({
-      conditions: new Map([
-        [LEADER_KEY, fence],
-        [MACHINE_ORDERS_KEY, version],
-      ]),
-      puts: [
-        {
-          key: MACHINE_ORDERS_KEY,
-          value: JSON.stringify(Object.fromEntries(marks)),
-        },
-      ],
-      removals: [],
+  async function write(): Promise<boolean> {
+    if (abort.signal.aborted) return false;
+    return entry.write(() => {
+      writtenAt = performance.now();
+      const marks = [...recorded].map(([machine, {mark}]) => [machine, mark]);
+      return JSON.stringify(Object.fromEntries(marks));
     });
-    const applied = result.isOk && result.value.applied;
-    version = applied ? result.value.revision : undefined;
-    return applied;
-  }
-
-  async function readVersion(): Promise<number | undefined> {
-    const found = await store.get(MACHINE_ORDERS_KEY);
-    return found.isOk ? (found.value?.version ?? 0) : undefined;
   }
 
   errors.run('machine orders', read);
--- a/src/actors/workflows/wave_records.ts
+++ b/src/actors/workflows/wave_records.ts
@@ -3,8 +3,10 @@
 import {Mirror} from '../../state';
 import {Log} from '../../telemetry';
 import {MachineState, MaintenanceWave} from '../../types/workflow';
-import {LEADER_KEY, getWaveKey} from './keys';
+import {getWaveKey} from './keys';
+import {LeaderEntry, createLeaderEntry} from './leader_entry';
 import {TermErrors} from './term_errors';
+import {WaveStatus} from './wave_status';
 
 /**
  * Tracks the progress of declared maintenance waves and stores it for the next
@@ -66,7 +68,7 @@
  * @param store the key-value store
  * @param fence the leader's fencing token, a condition of each write
  * @param waves mirror of the waves declared by the operator
- * @param report reports a wave's progress to the operator
+ * @param createStatus returns the entry that tells the operator a wave's state
  * @param unixNow returns the current Unix time in ms
  * @param log receives starts and completions of waves
  * @param errors errors of the term; a wave whose progress cannot be read starts
@@ -76,7 +78,7 @@
   store: Store,
   fence: number,
   waves: Mirror<MaintenanceWave>,
-  report: (wave: number, complete: boolean) => Promise<boolean>,
+  createStatus: WaveStatus,
   unixNow: () => number,
   log: Log,
   errors: TermErrors,
@@ -86,6 +88,8 @@
   /** Monotonic times in ms by which waves must be complete. */
   const endsAt = new Map<number, number>();
   const reported = new Set<number>();
+  /** Entries of this term in the store, by key. */
+  const entries = new Map<string, LeaderEntry>();
   /** Declarations of waves as they were last read, by wave. */
   const declarations = new Map<number, Declaration>();
 
@@ -104,6 +108,17 @@
     }
   }
 
+  function getEntry(key: string): LeaderEntry {
+    const entry = entries.get(key) ?? createLeaderEntry(store, fence, key);
+    entries.set(key, entry);
+    return entry;
+  }
+
+  async function report(number: number, complete: boolean): Promise<boolean> {
+    const {key, value} = createStatus(number, complete);
+    return getEntry(key).write(() => value);
+  }
+
   /**
    * Notes when each declaration was first read: its machines may be newer than
    * any machine list from before. One that has changed is not complete.
@@ -113,28 +128,23 @@
       const {number} = value;
       if (declarations.get(number)?.version === version) continue;
       declarations.set(number, {version, readAt: performance.now()});
-      reported.delete(number);
+      if (reported.delete(number)) {
+        errors.run('wave', () => report(number, false));
+      }
     }
   }
 
   async function write(number: number): Promise<void> {
-    const record: StoredWave = {
+    const readRecord = (): StoredWave => ({
       startedAt: startTimes.get(number) ?? unixNow(),
       serviced: [...(serviced.get(number) ?? [])],
-    };
-    const result = await store.transact({
-      conditions: new Map([[LEADER_KEY, fence]]),
-      puts: [{key: getWaveKey(number), value: JSON.stringify(record)}],
-      removals: [],
     });
-    if (result.isOk && result.value.applied) return;
+    const isStored = await getEntry(getWaveKey(number)).write(() =>
+      JSON.stringify(readRecord()),
+    );
     // If this write is lost, the next leader orders the upkeep again, which the
     // platform confirms as already done.
-    log.warn('wave', {
-      wave: number,
-      decision: 'not stored',
-      cause: result.isErr ? result.error : 'the term has ended',
-    });
+    if (!isStored) log.warn('wave', {wave: number, decision: 'not stored'});
   }
 
   return {
@@ -149,6 +159,7 @@
           startedAt: unixNow(),
           serviced: [],
         };
+        getEntry(getWaveKey(number)).setVersion(found.value?.version ?? 0);
         serviced.set(number, new Set(record.serviced));
         startTimes.set(number, record.startedAt);
         // A clock that differs from the earlier leader's must not make the
--- a/src/stand_ins/platform/memory_store.ts
+++ b/src/stand_ins/platform/memory_store.ts
@@ -31,8 +31,14 @@
     if (faults.down) return Result.err(StoreFailure.Unreachable);
     if (faults.slowMs > 0) await delay(faults.slowMs);
     if (faults.silent) return Result.err(StoreFailure.AnswerLost);
+    const isWrite = kind === CallKind.Write;
+    if (isWrite && faults.lateWrites > 0 && random() < faults.lateWrites) {
+      setTimeout(() => void effect(), faults.lateMs);
+      if (faults.lossMs > 0) await delay(faults.lossMs);
+      return Result.err(StoreFailure.AnswerLost);
+    }
     const answer = await effect();
-    const writes = kind === CallKind.Write || kind === CallKind.Lease;
+    const writes = isWrite || kind === CallKind.Lease;
     if (writes && faults.lostAnswers > 0 && random() < faults.lostAnswers) {
       if (faults.lossMs > 0) await delay(faults.lossMs);
       return Result.err(StoreFailure.AnswerLost);
--- a/src/stand_ins/platform/store_faults.ts
+++ b/src/stand_ins/platform/store_faults.ts
@@ -8,6 +8,10 @@
   lostAnswers: number;
   /** Time in ms after which a call whose answer is lost fails. */
   lossMs: number;
+  /** Share of writes, 0 to 1, that take effect late and get no answer. */
+  lateWrites: number;
+  /** Time in ms after which a late write takes effect. */
+  lateMs: number;
   /** Calls get no answer and take no effect. */
   silent: boolean;
   /**
@@ -24,6 +28,8 @@
     slowMs: 0,
     lostAnswers: 0,
     lossMs: 0,
+    lateWrites: 0,
+    lateMs: 0,
     silent: false,
     silentConnections: false,
   };
--- a/src/wiring/workflow_entry.ts
+++ b/src/wiring/workflow_entry.ts
@@ -9,6 +9,7 @@
   MachineTimes,
   NO_ORDER_SIGHTINGS,
   WATCHED_PREFIX,
+  WaveStatus,
   createCoordinator,
   createIntake,
   createInvalidEntries,
@@ -46,11 +47,8 @@
   readonly machines: Machines;
   /** Prefix and parser of the maintenance waves that the operator declares. */
   readonly waves: KeyReader<MaintenanceWave>;
-  /**
-   * Reports the state of a wave to the operator; resolves to false if the
-   * report failed.
-   */
-  readonly reportWave: (wave: number, complete: boolean) => Promise<boolean>;
+  /** Returns the entry in which the operator reads the state of a wave. */
+  readonly createWaveStatus: WaveStatus;
   readonly machineTimes: MachineTimes;
   /** Length of the leader's lease in ms. */
   readonly leaderLeaseMs: number;
@@ -161,7 +159,7 @@
   advice: advicePort,
   machines: machinesPort,
   waves: waveKeys,
-  reportWave: reportWavePort,
+  createWaveStatus,
   machineTimes,
   leaderLeaseMs,
   processorShare,
@@ -195,12 +193,6 @@
     Result.err(MachineOrderFailure.NoAnswer),
     errors,
   );
-  const {reportWave} = guardPort(
-    {reportWave: reportWavePort},
-    'wave report',
-    false,
-    errors,
-  );
   const invalidEntries = createInvalidEntries(log);
   const termFailures = createTermFailures();
   const clock = createUnixClock(({stepMs}) =>
@@ -283,7 +275,7 @@
         getConfiguration: () => latest,
         unixNow,
         times: machineTimes,
-        reportWave,
+        createWaveStatus,
         log,
         errors: termErrors,
       });
