The fleet: a wave isn't done while a host of it may only be too new

An operator who declared a wave over a host that was just listed read that the wave is done, and the host was never rebooted.

Cause: a host without an assignment, or that the leader's last list lacks, counted as gone. Other pools' leaders reviewed the wave before the host was assigned.

Change: `findProgress` asks whether the host has left. The view answers by `createAbsenceTracker`: lists that were read since this member has seen the wave lack the host for the grace period, and lists that are implausible don't count.

--- a/features/fleet/model_view.ts
+++ b/features/fleet/model_view.ts
@@ -34,6 +34,7 @@
     records,
     waves,
     listWaves: () => [...waves.entries.get().values()].map(e => e.value),
+    hasLeft: hostId => !hosts.get()?.some(({id}) => id === hostId),
     getRecord: pool => records.entries.get().get(`pools/${pool}`)?.value,
     isComplete: () => hosts.get() !== undefined,
     onChange: () => () => {},
--- a/features/fleet/waves.feature
+++ b/features/fleet/waves.feature
@@ -28,6 +28,20 @@
     And every host of "dish-desk" has rebooted exactly once
     And the recorded fleet history is sound
 
+  # Guards against a wave that is done at once because its host was listed too
+  # recently to have been assigned to a pool.
+  @promise-budget @failure-race
+  Scenario: A wave over a host that was just added waits for its maintenance
+    When a host is added to "dish-desk" and a fleet wave over it is declared once it is listed
+    Then within 60 seconds the fleet wave is done
+    And the added host has rebooted exactly once
+
+  # Guards against a wave that never ends because a host of it has left.
+  Scenario: A wave is done without a host that has left
+    When a host is added to "dish-desk" and a fleet wave over it is declared once it is listed
+    And the added host disappears from the host list
+    Then within 60 seconds the fleet wave is done
+
   @promise-budget @failure-correlated-wave
   Scenario: A wave whose hosts do not return from a reboot pauses until an operator resumes it
     When two hosts of "sky-lookup" never return from a reboot
--- a/features/fleet/waves.steps.ts
+++ b/features/fleet/waves.steps.ts
@@ -32,6 +32,7 @@
 let waves: Wave[] = [];
 let plan: WavePlan;
 let stuckHostIds: string[] = [];
+let addedHostId = '';
 
 Given(
   'a fleet of {int} entry hosts with its history recorded',
@@ -147,6 +148,28 @@
   assert.deepEqual(checkFleetHistory(getFleet().events), []);
 });
 
+When(
+  'a host is added to {string} and a fleet wave over it is declared once it is listed',
+  async (pool: string) => {
+    const {site} = getFleet();
+    addedHostId = site.addHost(pool).host.id;
+    const {view} = site.entries[0].core;
+    await advanceUntil(
+      () => view.hosts.get()?.some(({id}) => id === addedHostId) === true,
+      START_TIMEOUT_MS,
+    );
+    await declare(0, SelectorKind.Host, addedHostId);
+  },
+);
+
+When('the added host disappears from the host list', () => {
+  getFleet().site.hosts.delete(addedHostId);
+});
+
+Then('the added host has rebooted exactly once', () => {
+  assert.equal(findWorker(addedHostId).report().bootNumber, 2);
+});
+
 When(
   'the store loses {int} percent of the answers to writes',
   (percent: number) => {
--- a/features/support/memory_site.ts
+++ b/features/support/memory_site.ts
@@ -11,6 +11,7 @@
 } from '../../src/stand_ins/platform';
 import {
   Site,
+  SitePool,
   createHost,
   createProfiles,
   findSite,
@@ -44,6 +45,8 @@
   readonly keyValue: KeyValue;
   readonly network: MemoryNetwork;
   readonly workers: ReadonlyMap<string, WorkerModel>;
+  /** Adds a listed host with a worker to a pool. */
+  addHost(pool: string): WorkerModel;
   readonly entries: readonly MemoryEntryHost[];
   /**
    * The host list by host id; tests change it to make hosts leave or disappear.
@@ -77,13 +80,17 @@
   const workers = new Map<string, WorkerModel>();
   const entries: MemoryEntryHost[] = [];
 
+  function addHost(pool: SitePool, index: number): WorkerModel {
+    const host = createHost(site, pool, index, '127.0.0.1', 0);
+    const rebootMs = options.rebootMs ?? REBOOT_MS;
+    const worker = createWorkerModel({host, rebootMs});
+    hosts.set(host.id, host);
+    workers.set(host.id, worker);
+    return worker;
+  }
+
   for (const pool of site.pools) {
-    for (let i = 0; i < pool.workers; i += 1) {
-      const host = createHost(site, pool, i, '127.0.0.1', 0);
-      const rebootMs = options.rebootMs ?? REBOOT_MS;
-      hosts.set(host.id, host);
-      workers.set(host.id, createWorkerModel({host, rebootMs}));
-    }
+    for (let i = 0; i < pool.workers; i += 1) addHost(pool, i);
   }
   const hostList: HostList = {
     read: async () => Result.ok([...hosts.values()]),
@@ -155,6 +162,11 @@
     keyValue,
     network,
     workers,
+    addHost(name) {
+      const pool = site.pools.find(each => each.name === name);
+      if (!pool) throw new Error(`no pool ${name}`);
+      return addHost(pool, workers.size);
+    },
     entries,
     hosts,
     countWrites: prefix => keyValue.countWrites(prefix),
--- a/src/actors/fleet/fleet_view.ts
+++ b/src/actors/fleet/fleet_view.ts
@@ -1,9 +1,14 @@
 import {isDeepStrictEqual} from 'node:util';
-import {MergedHostList, mergeHostList} from '../../decisions/fleet';
+import {
+  ABSENCE_GRACE_MS,
+  MergedHostList,
+  mergeHostList,
+} from '../../decisions/fleet';
 import {HostList, Store} from '../../ports';
 import {
   Mirror,
   ObservableValue,
+  createAbsenceTracker,
   createMirror,
   createObservableValue,
 } from '../../state';
@@ -29,6 +34,11 @@
    * Returns all maintenance waves, including ended ones that are still stored.
    */
   listWaves(): readonly Wave[];
+  /**
+   * Returns whether a host of a wave has left the fleet: lists that were read
+   * since this member has seen the wave lack it for the grace period.
+   */
+  hasLeft(hostId: string, waveId: string): boolean;
   /** Returns the record of a pool, or undefined if there is none. */
   getRecord(pool: string): PoolRecord | undefined;
   /** Whether the host list has been read and every mirror has synced. */
@@ -57,9 +67,13 @@
   const records = createMirror<PoolRecord>(store, 'pools/');
   const waves = createMirror<Wave>(store, 'waves/');
   const index = createPoolIndex({hosts, assignments, records});
+  const absences = createAbsenceTracker(ABSENCE_GRACE_MS);
+  /** Monotonic times in ms at which waves were first seen, by key. */
+  const wavesSeenAt = new Map<string, number>();
   let merged: MergedHostList | undefined;
 
   async function readHosts(): Promise<void> {
+    const beganAt = performance.now();
     const read = await hostList.read();
     if (read.isErr) {
       telemetry.log.debug('host list not read', {error: read.error});
@@ -68,6 +82,12 @@
     const next = mergeHostList(merged, read.value, Date.now());
     reportImplausibleList(next, read.value.length);
     merged = next;
+    if (!next.implausible && read.value.length > 0) {
+      absences.record(
+        read.value.map(({id}) => id),
+        beganAt,
+      );
+    }
     if (isDeepStrictEqual(next.hosts, hosts.get())) return;
     hosts.set(next.hosts);
   }
@@ -83,6 +103,14 @@
     });
   }
 
+  waves.entries.onChange(entries => {
+    for (const key of wavesSeenAt.keys()) {
+      if (!entries.has(key)) wavesSeenAt.delete(key);
+    }
+    for (const key of entries.keys()) {
+      if (!wavesSeenAt.has(key)) wavesSeenAt.set(key, performance.now());
+    }
+  });
   const ticker = createTicker({
     intervalMs: HOST_LIST_INTERVAL_MS,
     activity: 'host-list',
@@ -97,6 +125,10 @@
     records,
     waves,
     listWaves: () => [...waves.entries.get().values()].map(e => e.value),
+    hasLeft(hostId, waveId) {
+      const seenAt = wavesSeenAt.get(`waves/${waveId}`);
+      return seenAt !== undefined && absences.hasLeft(hostId, seenAt);
+    },
     getRecord: pool => records.entries.get().get(`pools/${pool}`)?.value,
     isComplete: () =>
       hosts.get() !== undefined &&
--- a/src/actors/fleet/wave_reviewer.ts
+++ b/src/actors/fleet/wave_reviewer.ts
@@ -43,7 +43,7 @@
     const next = reviewWave({
       wave: entry.value,
       assignments: view.getAssignments(),
-      listed: new Set(view.hosts.get()?.map(host => host.id)),
+      hasLeft: hostId => view.hasLeft(hostId, entry.value.id),
       records: [...view.records.entries.get().values()].map(e => e.value),
     });
     if (!next) return;
--- a/src/actors/fleet/waves.ts
+++ b/src/actors/fleet/waves.ts
@@ -132,7 +132,7 @@
     return findProgress({
       wave,
       assignments: view.getAssignments(),
-      listed: new Set(view.hosts.get()?.map(host => host.id)),
+      hasLeft: hostId => view.hasLeft(hostId, wave.id),
       records: [...view.records.entries.get().values()].map(e => e.value),
     });
   }
--- a/src/decisions/fleet/wave_state.ts
+++ b/src/decisions/fleet/wave_state.ts
@@ -10,8 +10,11 @@
 export interface WaveInputs {
   readonly wave: Wave;
   readonly assignments: ReadonlyMap<string, HostAssignment>;
-  /** Ids of the hosts in the host list. */
-  readonly listed: ReadonlySet<string>;
+  /**
+   * Returns whether a host has left the fleet; one that was never listed may
+   * have been added since the last list.
+   */
+  readonly hasLeft: (hostId: string) => boolean;
   readonly records: readonly PoolRecord[];
 }
 
@@ -34,7 +37,7 @@
 
 /** Groups a wave's hosts by their progress. */
 export function findProgress(inputs: WaveInputs): WaveProgress {
-  const {wave, assignments, listed, records} = inputs;
+  const {wave, assignments, hasLeft, records} = inputs;
   const entries = new Map(
     records.flatMap(r => r.unavailable).map(e => [e.hostId, e]),
   );
@@ -50,7 +53,7 @@
     const entry = entries.get(hostId);
     if (assignment?.completedWaves.includes(wave.id)) {
       progress.done.push(hostId);
-    } else if (!assignment || !listed.has(hostId)) {
+    } else if (hasLeft(hostId)) {
       progress.gone.push(hostId);
     } else if (entry?.waveId !== wave.id) {
       progress.waiting.push(hostId);
