A cancelled id isn't accepted from a submission that is still in transit

Cause: an answer to a cancellation that found nothing rested on a read. The write that accepts the submission had been sent, got no answer, and took effect seconds later: its only condition was that the id isn't stored. What an entry host remembers isn't enough, as the cancellation may reach another one, or come after a restart.

Change: a cancellation that finds no workflow withdraws the id with a write that requires that none is stored; the creation of a workflow requires that its id isn't withdrawn. Whichever reaches the store first excludes the other, late or doubled. 410 is answered only once the store has confirmed the withdrawal; if it finds the workflow, that is cancelled; without an answer it is 504. A submission of a withdrawn id is answered 429, never runs. - A withdrawal has the scope of what its caller may see, so it neither stops nor reveals somebody else's submission. - The leader removes withdrawals 60 to 90 s after it saw them, also those of ids that no leader ever knew. An entry host writes 50 at once and 10 a second; more are answered 503, and repeated ones aren't written again. - Cancellations are attempted as often as submissions are. - The line `cancellation` tells by the id what the outcome was, and whether a submission of it had an unknown outcome here.

Evidence: cancellations.feature.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -48,6 +48,7 @@
 import {TermErrors} from './term_errors';
 import {createTicketCache} from './ticket_cache';
 import {createUnansweredStarts} from './unanswered_starts';
+import {createWithdrawalCleanup} from './withdrawal_cleanup';
 import {WorkflowUpdate, createWorkflowFeed} from './workflow_feed';
 
 /** Runs the workflows of all pools during one leadership term. */
@@ -142,6 +143,8 @@
 const TAKEOVER = 'taking over';
 /** Interval between deletions of expired workflows, in ms. */
 const CLEANUP_INTERVAL_MS = 5_000;
+/** Interval between reviews of the withdrawals, in ms. */
+const WITHDRAWALS_INTERVAL_MS = 30_000;
 
 /**
  * Creates the coordinator of a term and starts it.
@@ -283,6 +286,12 @@
       errors.guard('retention', () => retention.review()),
       CLEANUP_INTERVAL_MS,
     );
+    const withdrawals = createWithdrawalCleanup(store, term.fence);
+    const cleanWithdrawals = setInterval(
+      () => errors.run('withdrawals', () => withdrawals.review()),
+      WITHDRAWALS_INTERVAL_MS,
+    );
+    disposers.push(() => clearInterval(cleanWithdrawals));
     disposers.push(() => clearInterval(review));
     disposers.push(() => clearInterval(clean));
   }
--- a/src/actors/workflows/intake.ts
+++ b/src/actors/workflows/intake.ts
@@ -15,9 +15,11 @@
 import {getCancelKey, getWorkKey} from './keys';
 import {createRecentEntries} from './recent_entries';
 import {createRecentTasks} from './recent_tasks';
+import {createRepeatedWrites} from './repeated_writes';
 import {createStateReader} from './state_reader';
 import {SubmitAnswer} from './submit_answer';
 import {SubmitOutcome} from './submit_outcome';
+import {createWithdrawals} from './withdrawals';
 import {createWorkflowCreator} from './workflow_creator';
 import {WorkflowDraft} from './workflow_draft';
 
@@ -49,7 +51,18 @@
     id: string,
     caller: Caller,
   ): Promise<Result<WorkflowState | undefined, StoreFailure>>;
-  cancel(queue: Queue, id: string, caller: Caller): Promise<CancelOutcome>;
+  /**
+   * Cancels a workflow, or withdraws submissions of the id that may still be in
+   * transit.
+   *
+   * @param waitMs time in ms for which the caller waits for the answer
+   */
+  cancel(
+    queue: Queue,
+    id: string,
+    caller: Caller,
+    waitMs?: number,
+  ): Promise<CancelOutcome>;
   /**
    * Returns the number of a queue's accepted workflows of which no task has
    * started, as the leader last published it.
@@ -77,7 +90,7 @@
 /** Time in ms that callers wait for an answer if they don't say. */
 const DEFAULT_WAIT_MS = 2_000;
 /**
- * Share of a caller's wait that attempts to store its submission may take; the
+ * Share of a caller's wait that attempts to store its request may take; the
  * rest is for an attempt of the caller's at another entry host.
  */
 const ATTEMPTS_SHARE = 0.5;
@@ -114,7 +127,9 @@
   unixNow,
   log,
 }: IntakeOptions): Intake {
-  const creator = createWorkflowCreator(store);
+  const writes = createRepeatedWrites(store);
+  const creator = createWorkflowCreator(writes);
+  const withdrawals = createWithdrawals(writes);
   const states = createStateReader(store);
   /** Workflows that were cancelled through this entry host. */
   const cancelled = createRecentEntries<true>(MAX_RECENT);
@@ -196,7 +211,11 @@
     if (result.isOk) {
       const {applied, found} = result.value;
       if (applied) return {outcome: SubmitOutcome.Accepted};
-      return {outcome: judgeRepetition(found[0], queue, caller)};
+      const known = found.find(({key}) => key === getWorkKey(workflow.id));
+      if (!known && found.length > 0) {
+        return {outcome: SubmitOutcome.Withdrawn};
+      }
+      return {outcome: judgeRepetition(known, queue, caller)};
     }
     return result.error === StoreFailure.AnswerLost
       ? {outcome: SubmitOutcome.Unknown}
@@ -220,26 +239,54 @@
     queue: Queue,
     id: string,
     caller: Caller,
+    waitMs: number,
   ): Promise<CancelOutcome> {
+    const getElapsedMs = startStopwatch();
+    const getAttemptsMs = () => (waitMs - getElapsedMs()) * ATTEMPTS_SHARE;
     const stored = await states.read(id);
     if (stored.isErr) return CancelOutcome.Unavailable;
-    if (!stored.value || !isVisible(stored.value, queue, caller)) {
-      return CancelOutcome.NotFound;
+    if (stored.value) {
+      if (!isVisible(stored.value, queue, caller)) {
+        return CancelOutcome.NotFound;
+      }
+      if (isFinal(stored.value.state)) return CancelOutcome.Cancelled;
+      return requestCancellation(id, getAttemptsMs());
     }
-    if (isFinal(stored.value.state)) return CancelOutcome.Cancelled;
+    const result = await withdrawals.withdraw(
+      queue,
+      id,
+      caller,
+      getAttemptsMs(),
+    );
+    if (result.isErr) return getFailedOutcome(result.error);
+    const {applied, found} = result.value;
+    if (applied) return CancelOutcome.Withdrawn;
+    // The workflow was stored meanwhile.
+    const [entry] = found;
+    if (!entry) return CancelOutcome.Unknown;
+    const workflow = parseWorkflow(entry.value);
+    return workflow && isVisible(workflow, queue, caller)
+      ? requestCancellation(id, getAttemptsMs())
+      : CancelOutcome.NotFound;
+  }
+
+  /** Asks the leader to cancel a stored workflow. */
+  async function requestCancellation(
+    id: string,
+    waitMs: number,
+  ): Promise<CancelOutcome> {
     if (cancelled.has(id)) return CancelOutcome.Cancelled;
-    const result = await store.transact({
-      conditions: new Map(),
-      puts: [{key: getCancelKey(id), value: JSON.stringify(unixNow())}],
-      removals: [],
-    });
-    if (result.isOk) {
-      cancelled.set(id, true);
-      return CancelOutcome.Cancelled;
-    }
-    return result.error === StoreFailure.AnswerLost
-      ? CancelOutcome.Unknown
-      : CancelOutcome.Unavailable;
+    const result = await writes.transact(
+      {
+        conditions: new Map(),
+        puts: [{key: getCancelKey(id), value: JSON.stringify(unixNow())}],
+        removals: [],
+      },
+      waitMs,
+    );
+    if (result.isErr) return getFailedOutcome(result.error);
+    cancelled.set(id, true);
+    return CancelOutcome.Cancelled;
   }
 
   return {
@@ -263,15 +310,27 @@
     },
     mayBeStored: id => unknown.has(id),
     readState,
-    async cancel(queue, id, caller) {
-      const outcome = await cancel(queue, id, caller);
-      log.info('cancellation', {request: id, decision: 'cancel', outcome});
+    async cancel(queue, id, caller, waitMs = DEFAULT_WAIT_MS) {
+      const outcome = await cancel(queue, id, caller, waitMs);
+      log.info('cancellation', {
+        request: id,
+        decision: 'cancel',
+        outcome,
+        submission: unknown.has(id) ? SubmitOutcome.Unknown : undefined,
+      });
       return outcome;
     },
     countWaiting: queue => getLoad()?.waiting?.[queue] ?? 0,
   };
 }
 
+/** Returns the outcome of a cancellation that the store did not confirm. */
+function getFailedOutcome(failure: StoreFailure): CancelOutcome {
+  return failure === StoreFailure.AnswerLost
+    ? CancelOutcome.Unknown
+    : CancelOutcome.Unavailable;
+}
+
 /** Returns undefined if the value is not a workflow. */
 function parseWorkflow(value: string): Workflow | undefined {
   try {
--- a/src/actors/workflows/keys.ts
+++ b/src/actors/workflows/keys.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+
 /** Prefix of accepted workflows; each is written once. */
 export const WORK_PREFIX = 'work/';
 /** Key of the elected leader, bound to its lease. */
@@ -15,6 +17,11 @@
 export const PROGRESS_PREFIX = 'progress/';
 /** Prefix of cancellation requests, which the leader watches. */
 export const CANCEL_PREFIX = 'live/cancel/';
+/**
+ * Prefix of the withdrawals of ids that were cancelled while no workflow was
+ * stored; nobody watches it.
+ */
+export const WITHDRAWAL_PREFIX = 'withdrawn/';
 /**
  * Key that each ledger write of the leader replaces, so that a delayed write
  * fails its condition.
@@ -23,6 +30,9 @@
 /** Key of the machines with recent orders, written before each order. */
 export const MACHINE_ORDERS_KEY = 'machines/orders';
 
+/** Hexadecimal digits of a scope's hash. */
+const SCOPE_HASH_LENGTH = 16;
+
 /** Returns the key of an accepted workflow. */
 export function getWorkKey(id: string): string {
   return `${WORK_PREFIX}${id}`;
@@ -43,6 +53,15 @@
   return `${CANCEL_PREFIX}${id}`;
 }
 
+/**
+ * Returns the key of a withdrawal. The scope is hashed, as the names of queues
+ * and organisations may be longer than a key.
+ */
+export function getWithdrawalKey(id: string, scope: string): string {
+  const hash = createHash('sha256').update(scope).digest('hex');
+  return `${WITHDRAWAL_PREFIX}${id}/${hash.slice(0, SCOPE_HASH_LENGTH)}`;
+}
+
 /** Returns the key of a maintenance wave's progress. */
 export function getWaveKey(number: number): string {
   return `waves/${number}`;
--- a/src/actors/workflows/submit_outcome.ts
+++ b/src/actors/workflows/submit_outcome.ts
@@ -8,6 +8,8 @@
   Unavailable = 'unavailable',
   /** Not stored and never run: the id belongs to a workflow of others. */
   Taken = 'taken',
+  /** Not stored and never run: its id was cancelled before. */
+  Withdrawn = 'withdrawn',
   /** The workflow may be stored; it is safe to submit the same id again. */
   Unknown = 'unknown',
 }
--- a/src/actors/workflows/workflow_creator.ts
+++ b/src/actors/workflows/workflow_creator.ts
@@ -1,14 +1,14 @@
 import {Result} from 'true-myth';
-import {StoredState} from '../../decisions/workflows';
-import {Store, StoreFailure, TransactionResult} from '../../ports';
-import {createAdaptiveTimeout, delay, startStopwatch} from '../../state';
+import {StoredState, listCreationScopes} from '../../decisions/workflows';
+import {StoreFailure, Transaction, TransactionResult} from '../../ports';
 import {Workflow, WorkflowState} from '../../types/workflow';
-import {getStateKey, getWorkKey} from './keys';
+import {getStateKey, getWithdrawalKey, getWorkKey} from './keys';
+import {RepeatedWrites} from './repeated_writes';
 
 /** Creates the stored entries of new workflows. */
 export interface WorkflowCreator {
   /**
-   * Creates a workflow unless its id exists.
+   * Creates a workflow unless its id exists or was withdrawn.
    *
    * @param waitMs time in ms that the attempts may take
    * @returns the store's answer; `AnswerLost` if the workflow may be stored,
@@ -21,58 +21,19 @@
 }
 
 /**
- * Minimum attempts before an outcome is reported as unknown. With a third of
- * all answers lost, about one submission in twenty ends as unknown.
- */
-const MIN_ATTEMPTS = 3;
-/** Time in ms that the answer to the caller takes. */
-const ANSWER_MS = 30;
-/** Delay in ms before further attempts at a store that does not answer. */
-const RETRY_MS = 150;
-/**
- * Time in ms that an attempt takes at least if the store answers, with the
- * answer to the caller.
- */
-const MIN_ATTEMPT_MS = 100;
-
-/**
- * Creates a creator.
- *
- * Load: a store that is silent for a few seconds. A caller whose outcome is
- * unknown repeats the submission, but a few times only, so attempts go on for a
- * part of its wait. The condition on the key lets at most one of them create it.
+ * Creates a creator. The condition on the workflow's key lets at most one of
+ * several attempts create it.
  *
- * @param store the key-value store
+ * @param writes writes to the key-value store
  */
-export function createWorkflowCreator(store: Store): WorkflowCreator {
-  const storeTimeout = createAdaptiveTimeout();
-
+export function createWorkflowCreator(writes: RepeatedWrites): WorkflowCreator {
   return {
-    async create(workflow, waitMs) {
-      const getElapsedMs = startStopwatch();
-      const transaction = createTransaction(workflow);
-      let lost = 0;
-      for (;;) {
-        const result = await storeTimeout.run(
-          () => store.transact(transaction),
-          waitMs - getElapsedMs() - ANSWER_MS,
-        );
-        if (result.isOk) return result;
-        if (result.error === StoreFailure.AnswerLost) lost += 1;
-        if (lost === 0) return result;
-        if (lost < MIN_ATTEMPTS && result.error === StoreFailure.AnswerLost) {
-          continue;
-        }
-        if (getElapsedMs() + RETRY_MS + MIN_ATTEMPT_MS > waitMs) {
-          return Result.err(StoreFailure.AnswerLost);
-        }
-        await delay(RETRY_MS);
-      }
-    },
+    create: (workflow, waitMs) =>
+      writes.transact(createTransaction(workflow), waitMs),
   };
 }
 
-function createTransaction(workflow: Workflow) {
+function createTransaction(workflow: Workflow): Transaction {
   const {id, queue, organisation} = workflow;
   const state: StoredState = {
     queue,
@@ -80,8 +41,12 @@
     state: WorkflowState.Pending,
     begun: false,
   };
+  const keys = [
+    getWorkKey(id),
+    ...listCreationScopes(workflow).map(scope => getWithdrawalKey(id, scope)),
+  ];
   return {
-    conditions: new Map([[getWorkKey(id), 0]]),
+    conditions: new Map(keys.map(key => [key, 0])),
     puts: [
       {key: getWorkKey(id), value: JSON.stringify(workflow)},
       {key: getStateKey(id), value: JSON.stringify(state)},
--- a/src/state/rate_limiter.ts
+++ b/src/state/rate_limiter.ts
@@ -4,6 +4,8 @@
 export interface RateLimiter {
   /** Resolves once one more call may be made. */
   acquire(): Promise<void>;
+  /** Returns whether one more call may be made now, and counts it if so. */
+  tryAcquire(): boolean;
 }
 
 /** Rate and burst of a limiter. */
@@ -24,12 +26,26 @@
   /** Time at which the bucket is full again, on the monotonic clock. */
   let fullAt = performance.now();
 
+  /** Returns the time in ms until one more call may be made. */
+  function getWaitMs(): number {
+    const now = performance.now();
+    return Math.max(fullAt, now) + intervalMs - now - burst * intervalMs;
+  }
+
+  function count(): void {
+    fullAt = Math.max(fullAt, performance.now()) + intervalMs;
+  }
+
   return {
     async acquire() {
-      const now = performance.now();
-      fullAt = Math.max(fullAt, now) + intervalMs;
-      const waitMs = fullAt - now - burst * intervalMs;
+      const waitMs = getWaitMs();
+      count();
       if (waitMs > 0) await delay(waitMs);
     },
+    tryAcquire() {
+      if (getWaitMs() > 0) return false;
+      count();
+      return true;
+    },
   };
 }
