The start of a wave is reported until the store confirms it

What callers saw: nothing yet. Since a report of a wave reads the version of its entry first, it can fail in one more way, and it was tried only once; the operator would not have read `running`.

Change: the report of a wave's start is repeated until it is confirmed or the wave is completed. A declaration that changes after its wave was completed is reported as running again.

Evidence: waves.feature holds (16 scenarios).

--- a/src/actors/workflows/wave_records.ts
+++ b/src/actors/workflows/wave_records.ts
@@ -88,6 +88,8 @@
   /** Monotonic times in ms by which waves must be complete. */
   const endsAt = new Map<number, number>();
   const reported = new Set<number>();
+  /** Waves whose start is still to be reported to the operator. */
+  const unannounced = new Set<number>();
   /** Entries of this term in the store, by key. */
   const entries = new Map<string, LeaderEntry>();
   /** Declarations of waves as they were last read, by wave. */
@@ -119,6 +121,12 @@
     return getEntry(key).write(() => value);
   }
 
+  async function announce(number: number): Promise<void> {
+    unannounced.delete(number);
+    if (reported.has(number)) return;
+    if (!(await report(number, false))) unannounced.add(number);
+  }
+
   /**
    * Notes when each declaration was first read: its machines may be newer than
    * any machine list from before. One that has changed is not complete.
@@ -128,9 +136,7 @@
       const {number} = value;
       if (declarations.get(number)?.version === version) continue;
       declarations.set(number, {version, readAt: performance.now()});
-      if (reported.delete(number)) {
-        errors.run('wave', () => report(number, false));
-      }
+      if (reported.delete(number)) unannounced.add(number);
     }
   }
 
@@ -150,6 +156,9 @@
   return {
     async load() {
       readDeclarations();
+      for (const number of [...unannounced]) {
+        errors.run('wave', () => announce(number));
+      }
       for (const wave of listWaves()) {
         const {number} = wave;
         if (serviced.has(number)) continue;
@@ -172,7 +181,7 @@
         if (found.value) continue;
         log.info('wave', {wave: number, decision: 'started'});
         errors.run('wave', () => write(number));
-        errors.run('wave', () => report(number, false));
+        errors.run('wave', () => announce(number));
       }
     },
     listOpen: () =>
