Soak: lost writes may take effect late, and callers give up unknown submissions

Its store carried out each write at once, and its callers cancelled only what had been accepted.

Change: half of the transactions without an answer take effect 1 to 6 s later, as the platform's pages allow, and a fifth of the callers whose outcome is unknown cancel their submission; its runs are checked like those of any cancelled workflow.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -123,8 +123,11 @@
   async function submit(submission: Submission): Promise<void> {
     let entry = pickEntry();
     for (let count = 0; count < MAX_ATTEMPTS && !disposed; count += 1) {
-      const {status, retryAfterMs} = await attempt(submission, entry);
+      const record = await attempt(submission, entry);
+      const {status, retryAfterMs} = record;
       if (status === 200) break;
+      // Some callers give up a submission whose outcome they don't know.
+      if (isUnknown(record) && random.chance(0.2)) return cancel(submission);
       const refused = REFUSED_STATUS.includes(status);
       if (refused && random.chance(0.5)) break;
       const pauseMs = Math.min(retryAfterMs, BOUNDS.recoveryMs);
--- a/bench/soak/store_server.ts
+++ b/bench/soak/store_server.ts
@@ -10,7 +10,7 @@
 /** Faults of the store toward one entry host. */
 export interface StoreServerFaults {
   slowMs: number;
-  /** Share of writes that take effect but get no answer. */
+  /** Share of writes that take effect, at once or late, but get no answer. */
   lostWrites: number;
   /** Every call is refused. */
   turnedAway: boolean;
@@ -24,6 +24,12 @@
 }
 
 const REFUSALS = [503, 429];
+const TRANSACTION_PATH = '/-/kv-txn';
+/** Share of the transactions without an answer that take effect late. */
+const LATE_SHARE = 0.5;
+/** Limits in ms of the time after which they take effect. */
+const MIN_LATE_MS = 1_000;
+const MAX_LATE_MS = 6_000;
 
 /** Starts the store's server for one entry host. */
 export async function createStoreServer(
@@ -35,8 +41,11 @@
   const server: JsonServer = await createJsonServer(async call => {
     if (faults.turnedAway) return {status: random.pick(REFUSALS)};
     if (faults.slowMs > 0) await delay(faults.slowMs);
-    const result = await answer(call);
     const lost = call.method !== 'GET' && random.chance(faults.lostWrites);
+    const isLate =
+      lost && call.path === TRANSACTION_PATH && random.chance(LATE_SHARE);
+    if (isLate) await delay(random.between(MIN_LATE_MS, MAX_LATE_MS));
+    const result = await answer(call);
     return lost ? new Promise<never>(() => {}) : result;
   });
   return {address: server.address, faults, dispose: () => server.dispose()};
