--- a/features/workflows/cancellation_histories.ts
+++ b/features/workflows/cancellation_histories.ts
@@ -213,7 +213,6 @@
 }
 
 function createCaller(name: string): Caller {
-  return {
-    organisation: {name, keys: [], cap: undefined, share: 1},
-  } as unknown as Caller;
+  const cap = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  return {organisation: {name, keyDigests: [], priority: 0, weight: 1, cap}};
 }
