Log lines for stops, ends and returns of tasks whose step limits how many may be away

On-call could not tell from the log of an AVAIL who had ended which run: a stop was one of the lines that the rate limit drops, the end of a run was logged at debug level only, and no line told what the leader knew of the other tasks as it decided. Now each stop, end, loss and return of such a task has a line 'availability' with the others that the leader doesn't know to serve, the limit and the age of the oldest report behind it. They are exempt from the rate limit and at most 100 a second; the meter counts them by decision.

The conditions move unchanged from workflow_record.ts to availability.ts; no decision changes.

--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -30,6 +30,7 @@
   Workflow,
   WorkflowState,
 } from '../../types/workflow';
+import {createAvailabilityLog} from './availability_log';
 import {createFillerPacing} from './filler_pacing';
 import {MIN_CLOCK_RATE} from './host_clock';
 import {HostSession, createHostSession} from './host_session';
@@ -195,6 +196,7 @@
   const refusals = createStartRefusals();
   const pacing = createFillerPacing(sessions.all, log);
   const runLog = createRunLog(term.fence, onRunRestart, log);
+  const availability = createAvailabilityLog(term.fence, listGroup, log);
   const runEnds = createRunEndHandler(runTimes, hostHealth, finish, log);
   const placer = createTaskPlacer({
     records,
@@ -393,6 +395,8 @@
       log,
       errors,
       onBegun: markBegun,
+      onStop: (task, cause) => availability.recordStop(task, cause),
+      onServing: task => availability.recordServing(task),
       onStartAnswered({group}, accepted) {
         if (accepted) refusals.clear(group, host.id);
         else refusals.record(group, host.id, performance.now());
@@ -410,6 +414,7 @@
         });
         if (cause === HostRefusal.Ticket) tickets.discard(task.group, host.id);
         requeue(task);
+        availability.recordLoss(task, cause);
       },
       onCrash: handleCrash,
       onUpdate: schedulePlacement,
@@ -480,6 +485,7 @@
     }
     contain(record, () => runLog.recordEnd(task, end, source, true));
     contain(record, () => runEnds.handle(record, task, end));
+    availability.recordEnd(task, end.run, end.kind);
     ledger?.store(record, acknowledge);
     schedulePlacement();
   }
@@ -550,6 +556,12 @@
     ledger?.store(record);
   }
 
+  /** Returns the tasks of a task's step; only itself once its workflow is gone. */
+  function listGroup(task: TaskRecord): readonly TaskRecord[] {
+    const record = records.get(task.workflow.id);
+    return record ? listMembers(record, task) : [task];
+  }
+
   function schedulePlacement(): void {
     if (placementScheduled || !ready) return;
     placementScheduled = true;
--- a/src/actors/workflows/host_session.ts
+++ b/src/actors/workflows/host_session.ts
@@ -4,6 +4,7 @@
   Placement,
   TaskRecord,
   createHostRoom,
+  isStarted,
   releaseRoom,
   reserveRoom,
 } from '../../decisions/workflows';
@@ -144,6 +145,8 @@
   log,
   errors,
   onBegun,
+  onStop,
+  onServing,
   onStartAnswered,
   onEnd,
   onUnplacedEnd,
@@ -407,8 +410,10 @@
     onBegun(task);
     placement.seenAt = performance.now();
     if (running.percent !== placement.percent) {
+      const wasStarted = isStarted(placement.percent);
       placement.percent = running.percent;
       placement.progressedAt = performance.now();
+      if (!wasStarted && isStarted(running.percent)) onServing(task);
     }
     placement.load = running.load;
     if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
@@ -782,6 +787,7 @@
         host: host.id,
         cause,
       });
+      onStop(task, cause);
       placement.stopping = true;
       // A pending start order sends the stop itself when its retry loop ends.
       if (placement.lastUnsettledReport !== Infinity || placement.confirmed) {
--- a/src/actors/workflows/host_session_options.ts
+++ b/src/actors/workflows/host_session_options.ts
@@ -39,6 +39,10 @@
    * repeatedly for the same run.
    */
   readonly onBegun: (task: TaskRecord) => void;
+  /** Called when a placed run is about to be ordered to stop. */
+  readonly onStop: (task: TaskRecord, cause: string) => void;
+  /** Called when the host first reports that a run is past its startup. */
+  readonly onServing: (task: TaskRecord) => void;
   /** Called when the host has accepted or refused to start a task. */
   readonly onStartAnswered: (task: TaskRecord, accepted: boolean) => void;
   /**
--- a/src/decisions/workflows/index.ts
+++ b/src/decisions/workflows/index.ts
@@ -1,6 +1,7 @@
 /** State of workflows at their leader, and pure scheduling decisions. */
 export * from './admission';
 export * from './api_keys';
+export * from './availability';
 export * from './candidate_order';
 export * from './demand_forecast';
 export * from './encode_progress';
--- a/src/decisions/workflows/workflow_record.ts
+++ b/src/decisions/workflows/workflow_record.ts
@@ -29,14 +29,6 @@
   storedVersion: number;
 }
 
-/** Progress in percent at which a long-running task is serving. */
-const SERVING_PERCENT = 100;
-/**
- * Maximum age in ms of the last report that lists a serving task; covers one
- * report interval and a slow response.
- */
-const MAX_REPORT_AGE_MS = 1_500;
-
 const FINAL_STATES: ReadonlySet<WorkflowState> = new Set([
   WorkflowState.Completed,
   WorkflowState.Failed,
@@ -175,37 +167,6 @@
   return occurrence;
 }
 
-/**
- * Returns whether a long-running task is serving, according to a recent report
- * of its host.
- */
-export function isServing({placement}: TaskRecord, now: number): boolean {
-  return (
-    placement !== undefined &&
-    placement.confirmed &&
-    !placement.stopping &&
-    placement.percent >= SERVING_PERCENT &&
-    now - placement.seenAt < MAX_REPORT_AGE_MS
-  );
-}
-
-/**
- * Returns whether a task may be stopped without exceeding the number of tasks
- * of its step that may be down at the same time.
- */
-export function mayStopTask(
-  group: readonly TaskRecord[],
-  task: TaskRecord,
-  now: number,
-): boolean {
-  const {mayMiss} = task.step;
-  if (mayMiss === undefined) return true;
-  const down = group.filter(
-    other => other !== task && !isServing(other, now),
-  ).length;
-  return down < mayMiss;
-}
-
 /** Returns whether all tasks of all occurrences are done. */
 export function isComplete(record: WorkflowRecord): boolean {
   const {occurrences, steps} = record.workflow;
--- a/src/telemetry/line_writer.ts
+++ b/src/telemetry/line_writer.ts
@@ -21,10 +21,11 @@
 const SECOND_MS = 1_000;
 /**
  * Matches warnings, errors, negative outcomes and the few lines on the load of
- * the pools, which are exempt from the rate limit.
+ * the pools and the availability of services, which are exempt from the rate
+ * limit.
  */
 const RATE_LIMIT_EXEMPT =
-  /"logLevel":[4-6]0|"outcome":"(refused|unavailable|unknown)"|"message":"pool"/;
+  /"logLevel":[4-6]0|"outcome":"(refused|unavailable|unknown)"|"message":"(pool|availability)"/;
 
 /**
  * Creates a function that writes log lines and never blocks on a slow consumer.
