A run of an earlier term counts as away until its host has reported

Callers could lose one task too many across a change of leader: a stop that the last leader has ordered may still be on its way to a host that hasn't reported to the new one. Such a run counted as one whose start isn't confirmed, so it held no stop for a leaving host back; now it does, like one that was reported less than the longest time of a stop ago.

The scenario of a leader that is killed as it orders a stop, which arrives just before the first call of the next one, fails without the rule for runs of an earlier term (trial on a copy: the task ends with another one away), and passes with it.

--- a/features/workflows/availability.feature
+++ b/features/workflows/availability.feature
@@ -16,6 +16,21 @@
     And all tasks of the service are running
     And the run history has no violations
 
+  # Guards against a new leader that counts a task as serving while a stop that
+  # the one before it has ordered is still being carried out.
+  @promise-budget @failure-crash
+  Scenario: A host leaves as a leader is killed whose stop of a task of the same step is still to come
+    Given 3 entry hosts, 8 hosts for workflows and 0 spare machines
+    And a service of 6 tasks, one a host, of which 1 may be away
+    When a wave over the host of one of its tasks is declared, which takes 400 ms to stop it
+    And the leader is killed as it orders that stop, which arrives just before the first call of the next leader
+    And the host of another one, which takes 50 ms, announces that it leaves as soon as the stop is ordered
+    And 12 s pass
+    Then the wave is completed within 10 s
+    And nothing runs on the leaving host
+    And all tasks of the service are running
+    And the run history has no violations
+
   # Guards against stops that exceed the limit in an order of waves, leaving
   # hosts, lost and late orders and leaders that no other scenario has.
   @promise-budget @failure-crash @failure-partition @failure-lost-answer
--- a/features/workflows/availability.steps.ts
+++ b/features/workflows/availability.steps.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {HostAddress, RunOrder} from '../../src/ports/hosts';
 import {advance, advanceUntil, seedRandom} from '../support/paused_clock';
 import {AvailabilityReport, playAvailability} from './availability_histories';
 import {getSubmitted, getWorld} from './running.steps';
-import {createSpec, createStep} from './workflow_world';
+import {TestMember, createSpec, createStep} from './workflow_world';
 
 let serviceId = '';
 let taskCount = 0;
@@ -64,17 +65,52 @@
     leavingHost = host.host.id;
     host.faults.stopMs = stopMs;
     let isOrdered = false;
-    for (const {callFaults} of members) {
-      callFaults.onCall = call => {
+    for (const member of members) {
+      onCallOf(member, call => {
         if (call !== 'stop' || isOrdered) return;
         isOrdered = true;
         fleet.announceDraining(leavingMachine);
-      };
+      });
     }
     await advanceUntil(() => isOrdered, 10_000);
   },
 );
 
+When(
+  'the leader is killed as it orders that stop, which arrives just before the first call of the next leader',
+  () => {
+    const world = getWorld();
+    let pending: {hostId: string; order: RunOrder} | undefined;
+    let hasArrived = false;
+    for (const member of world.members) {
+      onCallOf(member, (call, parameters) => {
+        if (call !== 'stop' && call !== 'hold') return;
+        const [{id}, order] = parameters as [HostAddress, RunOrder];
+        if (call === 'stop' && !pending) {
+          pending = {hostId: id, order};
+          world.kill(member);
+        }
+        const isFirstHold = call === 'hold' && member.alive && !hasArrived;
+        if (!isFirstHold || id !== pending?.hostId) return;
+        hasArrived = true;
+        world.fleet.hosts.get(id)?.stop(pending.order);
+      });
+    }
+  },
+);
+
+/** Adds to what is done at each call of an entry host. */
+function onCallOf(
+  {callFaults}: TestMember,
+  handle: (call: string, parameters: readonly unknown[]) => void,
+): void {
+  const {onCall} = callFaults;
+  callFaults.onCall = (call, parameters) => {
+    onCall(call, parameters);
+    handle(call, parameters);
+  };
+}
+
 Then('nothing runs on the leaving host', () => {
   assert.deepEqual(getWorld().fleet.hosts.get(leavingHost)?.listRuns(), []);
 });
--- a/features/workflows/availability_histories.ts
+++ b/features/workflows/availability_histories.ts
@@ -29,6 +29,8 @@
   Crash = 'crash',
   SilenceHost = 'silence-host',
   KillLeader = 'kill-leader',
+  /** The leader goes on, but doesn't reach the store. */
+  CutLeaderFromStore = 'cut-leader-from-store',
   /** The leader reads answers late, while its timers go on. */
   StarveLeader = 'starve-leader',
   LoseAnswers = 'lose-answers',
@@ -40,6 +42,8 @@
 const HOST_COUNT = 10;
 /** Time in ms from the notice of a host that leaves until it is gone. */
 const NOTICE_MS = 2_000;
+/** Time in ms for which a leader is cut off from the store at least. */
+const CUT_MS = 1_500;
 const MAX_STOP_MS = 400;
 const STARTUP_MS = 700;
 /** Time in ms within which services must be whole once all faults are over. */
@@ -174,6 +178,13 @@
       world.kill(leader);
       world.addMember();
       return;
+    case ActionKind.CutLeaderFromStore:
+      if (!leader?.alive) return;
+      leader.faults.down = true;
+      setTimeout(() => {
+        leader.faults.down = !leader.alive;
+      }, lengthMs + CUT_MS);
+      return;
     case ActionKind.StarveLeader:
       if (!leader) return;
       leader.callFaults.answerDelayMs = lengthMs;
--- a/src/decisions/workflows/availability.ts
+++ b/src/decisions/workflows/availability.ts
@@ -12,7 +12,7 @@
   Starting = 'starting',
   /** Its host has not listed its run recently. */
   Unreported = 'unreported',
-  /** It serves, but an earlier leader may have ordered its run to stop. */
+  /** Its run is of an earlier term, whose leader may have ordered it to stop. */
   Adopted = 'adopted',
   /** It serves on a host that leaves. */
   Leaving = 'leaving',
@@ -63,11 +63,11 @@
   const {placement} = task;
   if (placement === undefined) return Absence.Waiting;
   if (placement.stopping) return Absence.Stopping;
-  if (!placement.confirmed) return Absence.Ordered;
+  const {isAdopted, confirmed, confirmedAt} = placement;
+  if (!confirmed) return isAdopted ? Absence.Adopted : Absence.Ordered;
   if (!isStarted(placement.percent)) return Absence.Starting;
   if (now - placement.seenAt >= MAX_REPORT_AGE_MS) return Absence.Unreported;
   if (isLeaving(task)) return Absence.Leaving;
-  const {isAdopted, confirmedAt} = placement;
   if (isAdopted && now < confirmedAt + stopMs) return Absence.Adopted;
   return undefined;
 }
