An upkeep or move isn't sent once tasks have been placed on its machine

A service whose tasks must not be ended by orders could lose one: an order for an empty machine is decided, recorded in the store and then sent. If a host starts on the machine while the record is written, up to 0.9 s with a slow store, tasks are placed on it, and the order ended them. Now the machine is looked at again right before the order; one with tasks is given up, with a warning, and reviewed anew.

What remains: the time in which an order is on its way to the platform.

--- a/features/workflows/availability.steps.ts
+++ b/features/workflows/availability.steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {MACHINE_ORDERS_KEY} from '../../src/actors/workflows';
+import {Transaction} from '../../src/ports';
 import {HostAddress, RunOrder} from '../../src/ports/hosts';
 import {advance, advanceUntil, seedRandom} from '../support/paused_clock';
 import {AvailabilityReport, playAvailability} from './availability_histories';
@@ -111,6 +113,32 @@
   };
 }
 
+When(
+  'a wave over an empty machine is declared, on which a host starts while the order is recorded for {int} ms',
+  async (recordMs: number) => {
+    const {fleet, members, declareWave} = getWorld();
+    const [machine] = fleet.machines.keys();
+    let records = 0;
+    for (const member of members) {
+      onCallOf(member, (call, [transaction]) => {
+        const {puts = []} = (transaction ?? {}) as Partial<Transaction>;
+        const isRecord = puts.some(({key}) => key === MACHINE_ORDERS_KEY);
+        if (call !== 'transact' || !isRecord) return;
+        records += 1;
+        // The second call of the hook is that after the answer.
+        if (records !== 2) return;
+        fleet.crash(machine, false);
+        fleet.boot(machine);
+        member.callFaults.answerDelayMs = recordMs;
+        queueMicrotask(() => (member.callFaults.answerDelayMs = 0));
+      });
+    }
+    const machines = [machine];
+    declareWave({number: 1, machines, durationMs: 30_000, limit: 1});
+    await advanceUntil(() => records > 1, 10_000, 1);
+  },
+);
+
 Then('nothing runs on the leaving host', () => {
   assert.deepEqual(getWorld().fleet.hosts.get(leavingHost)?.listRuns(), []);
 });
--- a/features/workflows/waves.feature
+++ b/features/workflows/waves.feature
@@ -68,6 +68,18 @@
     And no start order was sent to an ended host incarnation
     And the run history has no violations
 
+  # Guards against an order that ends tasks which were started on its machine
+  # after it was decided.
+  @promise-budget @failure-lost-answer
+  Scenario: A host with a task starts on a machine between the record of its upkeep and the order
+    Given 3 entry hosts, 4 hosts for workflows and 1 spare machines
+    When 3 s pass
+    And a wave over an empty machine is declared, on which a host starts while the order is recorded for 800 ms
+    And a service of 4 tasks, one a host, of which 0 may be away
+    And 4 s pass
+    Then all tasks of the service are running
+    And the run history has no violations
+
   # Guards against a wave that is reported as completed because the last machine
   # list is older than one of its machines.
   @promise-budget
--- a/src/actors/workflows/machine_manager.ts
+++ b/src/actors/workflows/machine_manager.ts
@@ -300,7 +300,8 @@
 
   /**
    * Sends the queued orders once they are recorded in the store under this
-   * term; discards them if recording fails or takes too long.
+   * term; discards them if recording fails or takes too long, and those for
+   * machines on which tasks have been placed meanwhile.
    */
   async function sendOrders(): Promise<void> {
     const due = queuedOrders;
@@ -312,12 +313,23 @@
     // The process may have been paused, or the store slow, since the review.
     const isInTime =
       getTermAgeMs() < MAX_TERM_AGE_MS && getRecordMs() < MAX_SEND_DELAY_MS;
-    if (recorded && isInTime) {
-      for (const {send} of due) errors.run('machine orders', send);
-      return;
+    const isValid = recorded && isInTime;
+    if (!isValid) {
+      log.warn('machine', {decision: 'give up', machines: machines.length});
+    }
+    for (const {machine, send} of due) {
+      if (isValid && isEmpty(machine)) errors.run('machine orders', send);
+      else orders.delete(machine);
     }
-    log.warn('machine', {decision: 'give up', machines: machines.length});
-    for (const machine of machines) orders.delete(machine);
+  }
+
+  /** Returns whether a machine that was reserved still has no tasks. */
+  function isEmpty(machine: string): boolean {
+    const tasks = views.listTasks(machine).length;
+    if (tasks === 0) return true;
+    const cause = 'tasks were placed on it';
+    log.warn('machine', {machine, decision: 'give up', cause, tasks});
+    return false;
   }
 
   /**
