Soak: services whose tasks may not all be away at once

Two services of four tasks, of which one and two may be away, now run from the start to the end of the load; hosts take different times to stop a run. The check 'runs' counts from the events of the hosts.

--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -14,6 +14,7 @@
 import {startProcessWatch} from './process_watch';
 import {createRandom} from './random';
 import {createRunHistory} from './run_history';
+import {createServices, varyStopTimes} from './services';
 import {createSoakSite} from './site';
 import {CallEnd, Submission} from './submission';
 import {Check, Verdict, Violation, createVerdict} from './verdict';
@@ -120,6 +121,7 @@
   const callers = createCallers({
     ...{...shared, submissions, history},
   });
+  const services = createServices(caller, entryCount, submissions);
   const stops: (() => void)[] = [];
 
   function reviveEnded({index, label, detail, wasReady}: OwnEnd): void {
@@ -139,6 +141,7 @@
     ended = true;
     for (const stop of stops) stop();
     callers.dispose();
+    services.dispose();
     history.dispose();
     caller.dispose();
     await site.dispose();
@@ -194,8 +197,12 @@
   progress(`ready after ${Math.round(performance.now() - startedAt)} ms`);
   startedAt = performance.now();
   callers.start();
+  services.start();
   stops.push(startConfigurationProbe(shared));
-  every(FOLLOW_INTERVAL_MS, () => history.follow());
+  every(FOLLOW_INTERVAL_MS, () => {
+    varyStopTimes(platform.fleet.hosts);
+    history.follow();
+  });
   every(CHECK_INTERVAL_MS, () => history.checkAll());
   watchOwnLag();
   const endWatch = startProcessWatch({
@@ -228,6 +235,7 @@
   if (isRecoveryPlanted) entries[0].signal('SIGCONT');
   progress(`all serve after ${Math.round(performance.now() - startedAt)} ms`);
   callers.stop();
+  services.stop();
   const finishBy = performance.now() + BOUNDS.finishMs;
   while (callers.listUnfinished().length > 0 && performance.now() < finishBy) {
     await delay(READY_POLL_MS);
--- a/bench/soak/submission.ts
+++ b/bench/soak/submission.ts
@@ -49,7 +49,6 @@
 
 /** Draws a small workflow. */
 export function drawSubmission(random: Random, number: number): Submission {
-  const id = number.toString(16).padStart(16, '0');
   const queue = random.pick([...QUEUES.keys()]);
   const organisation =
     queue === PUBLIC_QUEUE ? undefined : drawOrganisation(random);
@@ -71,6 +70,30 @@
     ...(index > 0 ? {after: [index - 1]} : {}),
     ...(gangSize > 0 ? {gang: true} : {}),
   }));
+  return createSubmission(number, queue, organisation, behaviour, steps);
+}
+
+/** Returns a service of lasting tasks, of which some may be away at once. */
+export function createService(number: number, mayMiss: number): Submission {
+  const behaviour = {workMs: 0, cpuMillis: 500, memoryMb: 64, lasting: true};
+  const step = {count: 4, cpu: behaviour.cpuMillis, memMb: behaviour.memoryMb};
+  return createSubmission(
+    number,
+    PUBLIC_QUEUE,
+    undefined,
+    {...behaviour, startupMs: 400},
+    [{...step, longRunning: true, maxPerServer: 2, mayMiss}],
+  );
+}
+
+function createSubmission(
+  number: number,
+  queue: string,
+  organisation: SoakOrganisation | undefined,
+  behaviour: TaskBehaviour,
+  steps: readonly object[],
+): Submission {
+  const id = number.toString(16).padStart(16, '0');
   const body = JSON.stringify({spec: JSON.stringify(behaviour), steps});
   const draft = readDraft(body);
   if (!draft) throw new Error('the soak drew an invalid workflow');
--- a/features/workflows/workflow_world.ts
+++ b/features/workflows/workflow_world.ts
@@ -247,6 +247,7 @@
   const members: TestMember[] = [];
   const workflows = new Map<string, Workflow>();
   const cancelledAt = new Map<string, number>();
+  const cancelSentAt = new Map<string, number>();
   const queues = new Map<string, Queue>();
   const waveReports: string[] = [];
   const waveStatus = createMirror<string>(
@@ -438,6 +439,7 @@
       return state.unwrapOr(undefined);
     },
     async cancel(member, id) {
+      cancelSentAt.set(id, performance.now());
       await settle(member.entry.intake.cancel(QUEUE, id, ANYBODY));
       cancelledAt.set(id, performance.now());
     },
@@ -450,6 +452,7 @@
       ...checkRuns(fleet.events, {
         workflows,
         cancelledAt,
+        cancelSentAt,
         cancelMs: TIMES.cancelMs,
         hosts: fleet.hosts,
         drainMs: TIMES.drainMs,
--- a/src/history/workflows/check_runs.ts
+++ b/src/history/workflows/check_runs.ts
@@ -11,6 +11,11 @@
  * checked against.
  */
 export interface RunExpectations extends AvailabilityExpectations {
+  /**
+   * Monotonic time in ms at which a cancellation was acknowledged, by workflow
+   * id.
+   */
+  readonly cancelledAt: ReadonlyMap<string, number>;
   /**
    * Maximum time in ms after that acknowledgement at which a run may still
    * start.
