--- a/src/actors/workflows/coordinator.ts
+++ b/src/actors/workflows/coordinator.ts
@@ -456,7 +456,7 @@
   }
 
   function evacuate(): void {
-    sessions.evacuate((task, drainingMs) =>
+    sessions.forEachLeaving((task, drainingMs) =>
       disruptions.evacuate(task, drainingMs),
     );
   }
--- a/src/actors/workflows/disruptions.ts
+++ b/src/actors/workflows/disruptions.ts
@@ -54,8 +54,8 @@
   stop,
   log,
 }: DisruptionsOptions): Disruptions {
-  /** Runs whose stop the number of tasks away may hold back. */
-  const limited = new WeakSet<Placement>();
+  /** Runs that were stopped for upkeep, whose stops are repeated only if allowed. */
+  const stoppedForUpkeep = new WeakSet<Placement>();
 
   function mayStop(task: TaskRecord): boolean {
     return mayStopTask(listGroup(task), task, getView());
@@ -66,7 +66,7 @@
       const {placement} = task;
       if (!placement || placement.stopping) return;
       if (!mayStop(task)) return log.recordHeld(task, UPKEEP);
-      limited.add(placement);
+      stoppedForUpkeep.add(placement);
       stop(task, UPKEEP);
     },
     evacuate(task, drainingMs) {
@@ -84,7 +84,7 @@
     },
     mayRepeat(task) {
       const {placement} = task;
-      if (!placement || !limited.has(placement)) return true;
+      if (!placement || !stoppedForUpkeep.has(placement)) return true;
       return getView().isLeaving(task) || mayStop(task);
     },
   };
--- a/src/actors/workflows/host_sessions.ts
+++ b/src/actors/workflows/host_sessions.ts
@@ -26,13 +26,13 @@
   /** Orders a task's run to stop, if the task is placed. */
   stop(task: TaskRecord, cause: string): void;
   /**
-   * Finds the tasks on draining hosts that can continue on another host with
+   * Visits the tasks on draining hosts that can continue on another host with
    * room: long-running tasks immediately, tasks with checkpoints after a delay.
    *
    * @param visit called with each task and the time in ms for which its host
    *     has been draining
    */
-  evacuate(visit: (task: TaskRecord, drainingMs: number) => void): void;
+  forEachLeaving(visit: (task: TaskRecord, drainingMs: number) => void): void;
   dispose(): void;
 }
 
@@ -164,7 +164,7 @@
     hasRoomFor,
     hasSoundRoomFor,
     stop,
-    evacuate(visit) {
+    forEachLeaving(visit) {
       const now = performance.now();
       for (const [id, session] of all) {
         if (!session.room.host.draining) {
