Review: a task whose workers crash is shown as failed (LOST)

Cause: recordCrash gives a task up after four crashes of its hosts, or two if it was the only suspect, although none of its runs has failed.

--- a/review/stand_ins_3/site.mjs
+++ b/review/stand_ins_3/site.mjs
@@ -416,6 +416,7 @@
   let sequence = 0;
   let state = 'ready';
   let alive = true;
+  let isDark = false;
 
   const getClockMs = () => Math.round(1_000 + performance.now() - clockStart);
   const isLower = body => (body.fence ?? 0) < fence;
@@ -454,6 +455,13 @@
         behaviour.workMs,
         savedMs + Math.max(0, performance.now() - workingFrom),
       );
+    const getPercent = () => {
+      if (!behaviour.lasting) {
+        return Math.min(99, Math.floor((getDoneMs() / behaviour.workMs) * 100));
+      }
+      const ms = Math.max(0, performance.now() - workingFrom);
+      return Math.min(100, Math.floor((ms / STARTUP_MS) * 100));
+    };
     const save = () => {
       const ms = Math.floor(getDoneMs());
       saved = `${ms.toString(16).padStart(8, '0')}${task.slice(0, 8)}`;
@@ -462,15 +470,10 @@
       task,
       run,
       behaviour,
-      list: () => [
-        task,
-        run,
-        saved,
-        Math.min(99, Math.floor((getDoneMs() / behaviour.workMs) * 100)),
-        behaviour.cpu,
-      ],
+      list: () => [task, run, saved, getPercent(), behaviour.cpu],
       begin() {
         workingFrom = performance.now() + restoreMs;
+        if (behaviour.lasting) return;
         const leftMs = behaviour.workMs - savedMs + restoreMs;
         timers.push(setTimeout(() => entry.end('done'), leftMs));
         if (!behaviour.saves) return;
@@ -572,7 +575,7 @@
 
   async function answer(call) {
     if (call.headers['x-expect-instance'] !== id) return {status: 421};
-    if (options.intercept?.(call)) return undefined;
+    if (isDark || options.intercept?.(call)) return undefined;
     if (call.path === '/-/run-start') return start(call.body);
     if (call.path === '/-/run-stop') return stop(call.body);
     if (call.path === '/-/hold') return hold(call.body);
@@ -606,7 +609,7 @@
     beatTimer = setTimeout(beat, HEARTBEAT_MS);
   }
 
-  function endAll() {
+  function endRuns() {
     alive = false;
     clearTimeout(beatTimer);
     clearTimeout(leaseTimer);
@@ -614,9 +617,23 @@
       runs.delete(`${run.task}/${run.run}`);
       run.vanish();
     }
+  }
+
+  function endAll() {
+    endRuns();
     return server.close();
   }
 
+  /** Removes the entry after three heartbeats without another one. */
+  function expireEntry() {
+    const last = sequence;
+    const key = `servers/${id}`;
+    expiryTimer = setTimeout(() => {
+      const entry = store.read(key);
+      if (entry?.sequence === last && entry.born === born) store.remove(key);
+    }, 3 * HEARTBEAT_MS);
+  }
+
   beatTimer = setTimeout(beat, firstBeatMs);
   record.write(`worker ${id} (${labels.join(' ')}) on ${machine} serves`);
 
@@ -628,6 +645,12 @@
     address: server.address,
     port: server.port,
     listRuns: () => [...runs.values()].map(({task, run}) => ({task, run})),
+    /** Lets the run of a task fail; false if the task does not run here. */
+    fail(task) {
+      const entry = [...runs.values()].find(each => each.task === task);
+      entry?.end('failed');
+      return entry !== undefined;
+    },
     /** Reports that it will leave; it leaves after drainMs and a little more. */
     drain(remainingMs) {
       state = 'draining';
@@ -643,14 +666,15 @@
     /** Ends without notice; its entry is removed after three heartbeats. */
     async crash() {
       record.write(`worker ${id}: crashes`);
-      const last = sequence;
-      const key = `servers/${id}`;
-      const closed = endAll();
-      expiryTimer = setTimeout(() => {
-        const entry = store.read(key);
-        if (entry?.sequence === last && entry.born === born) store.remove(key);
-      }, 3 * HEARTBEAT_MS);
-      await closed;
+      expireEntry();
+      await endAll();
+    },
+    /** The same, in silence: nothing answers at its address any more. */
+    goDark() {
+      record.write(`worker ${id}: crashes and goes dark`);
+      expireEntry();
+      isDark = true;
+      endRuns();
     },
     close() {
       clearTimeout(expiryTimer);
